--- /dev/null
+++ b/grebeproxy/__init__.py
@@ -0,0 +1,7 @@
+"""grebeproxy: decisions of a gateway that keeps short and long queries apart on shared engines."""
+
+from grebeproxy.choice import Choice
+from grebeproxy.interface import Settings
+
+__all__ = ["Choice", "Settings"]
+__version__ = "0.1.0"
--- a/cedarhub/benchlink.py
+++ b/grebeproxy/benchlink.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, TextIO
 
-from cedarhub import interface as api
-from cedarhub.choice import Choice
+from grebeproxy import interface as api
+from grebeproxy.choice import Choice
 
 Fields = dict[str, Any]
 
--- a/cedarhub/choice.py
+++ b/grebeproxy/choice.py
@@ -1,4 +1,4 @@
-"""All decisions of one gateway. Its types, events and actions are in ``cedarhub/interface.py``.
+"""All decisions of one gateway. Its types, events and actions are in ``grebeproxy/interface.py``.
 
 Queries are held; the one with the highest ``_priority`` leaves when ``_room`` opens on an engine, ``_cost``
 picks the engine. Every send passes ``_may_send``, which keeps the rules.
@@ -11,11 +11,11 @@
 from math import exp
 from random import Random
 
-from cedarhub.interface import (
+from grebeproxy.interface import (
     Action, AttemptEnded, Cancel, Effect, Engine, EngineList, EngineState, Event, Fail, Gone, ListKind,
     Outcome, Overbooked, Probe, Probed, Progress, ProgressKind, Query, Refuse, Scope, Send, SetTerms,
     Settings, SetTimer, TimerFired, Watch)
-from cedarhub.state import Books, Bucket, Job, Node
+from grebeproxy.state import Books, Bucket, Job, Node
 
 FLOOR, GAP_MARGIN = 1.0, 1.5  # base priority; full-load gap between neighbours, in deadlines of urgency
 LOW, HIGH = 0.05, 0.5  # held queries per core of ours at which the gap starts and is full
--- a/cedarhub/state.py
+++ b/grebeproxy/state.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict, deque
 
-from cedarhub.interface import Action, Engine, Query, QueryClass
+from grebeproxy.interface import Action, Engine, Query, QueryClass
 
 
 class Job:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,8 +8,8 @@
 import pytest
 from hypothesis import settings as hypothesis_settings
 
-from cedarhub import Choice, Settings
-from cedarhub.interface import (
+from grebeproxy import Choice, Settings
+from grebeproxy.interface import (
     Action,
     AttemptEnded,
     Cancel,
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from cedarhub import Choice, Settings
-from cedarhub import interface as api
-from cedarhub.benchlink import Link, WireError, settings_from
+from grebeproxy import Choice, Settings
+from grebeproxy import interface as api
+from grebeproxy.benchlink import Link, WireError, settings_from
 
 PROFILE: dict[str, Any] = {
     "balancers": 2, "me": 1, "zone": "z1", "zones": ["z1", "z2"], "kinds": ["k4"], "round": 5.0,
@@ -205,7 +205,7 @@
 
 def test_the_program_ends_with_one_plain_line_on_bad_input_and_cleanly_at_the_end() -> None:
     def run(text: str) -> subprocess.CompletedProcess[str]:
-        return subprocess.run([sys.executable, "-m", "cedarhub.benchlink"], input=text, capture_output=True,
+        return subprocess.run([sys.executable, "-m", "grebeproxy.benchlink"], input=text, capture_output=True,
                               text=True, check=False)
     good = run('{"msg":"Mark","simTime":1.0,"n":1}\n{"msg":"End"}\n')
     assert (good.returncode, good.stdout, good.stderr) == (0, '{"msg":"Ack","n":1}\n', "")
@@ -248,4 +248,4 @@
                   arrival])
     places = [line for line in reply if line["msg"] == "Place"]
     assert [(p["tid"], p["node"]) for p in places] == [("r", "10.0.0.1:9000")]
-    assert Choice.__module__ == "cedarhub.choice"
+    assert Choice.__module__ == "grebeproxy.choice"
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -7,7 +7,7 @@
 
 from conftest import LOAD, LONG, SHORT, Gateway, cancels, finals, make_settings, sends
 
-from cedarhub.interface import (
+from grebeproxy.interface import (
     Action,
     AttemptBudget,
     Effect,
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -6,8 +6,8 @@
 
 from conftest import LONG, SHORT, Gateway, cancels, finals, make_settings, sends
 
-from cedarhub import Settings
-from cedarhub.interface import Kind, Outcome, Overbooked, Progress, ProgressKind, SetTerms, Tenant
+from grebeproxy import Settings
+from grebeproxy.interface import Kind, Outcome, Overbooked, Progress, ProgressKind, SetTerms, Tenant
 
 
 def test_an_engine_that_fails_fast_attracts_no_traffic(settings: Settings) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,9 +4,9 @@
 
 from conftest import LOAD, LONG, SHORT, Gateway, finals, make_settings, sends
 
-from cedarhub import Settings
-from cedarhub.interface import AttemptEnded, Outcome, Query
-from cedarhub.state import Job
+from grebeproxy import Settings
+from grebeproxy.interface import AttemptEnded, Outcome, Query
+from grebeproxy.state import Job
 
 
 def held_job(gateway: Gateway, cls: str, began: float, work: float = 0.5) -> Job:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -6,9 +6,9 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-MODULE = ROOT / "cedarhub" / "choice.py"
+MODULE = ROOT / "grebeproxy" / "choice.py"
 ALLOWED = {
-    "__future__", "zlib", "functools", "math", "random", "statistics", "cedarhub.interface", "cedarhub.state"}
+    "__future__", "zlib", "functools", "math", "random", "statistics", "grebeproxy.interface", "grebeproxy.state"}
 
 
 def test_the_module_is_short_enough_to_print() -> None:
@@ -35,7 +35,7 @@
 
 
 def test_the_module_names_its_interface_at_the_top() -> None:
-    assert "cedarhub/interface.py" in "\n".join(MODULE.read_text().splitlines()[:3])
+    assert "grebeproxy/interface.py" in "\n".join(MODULE.read_text().splitlines()[:3])
 
 
 def test_the_readme_example_runs_as_printed() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cedarhub import Choice, Settings
-from cedarhub.interface import (
+from grebeproxy import Choice, Settings
+from grebeproxy.interface import (
     AttemptBudget,
     AttemptEnded,
     Cancel,
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cedarhub import Choice
-from cedarhub.interface import Engine, EngineList, Kind, ListKind, Outcome, SetTimer, Tenant
+from grebeproxy import Choice
+from grebeproxy.interface import Engine, EngineList, Kind, ListKind, Outcome, SetTimer, Tenant
 
 FLEET = 34
 
