--- a/grebeproxy/benchlink.py
+++ b/grebeproxy/benchlink.py
@@ -12,19 +12,14 @@
 
 from grebeproxy import interface as api
 from grebeproxy.choice import Choice
+from grebeproxy.settings import Fields, report_from, seconds, settings_from
 
-Fields = dict[str, Any]
-
-EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 STATES = {"on": api.EngineState.UP, "fading": api.EngineState.DRAINING, "off": api.EngineState.GONE}
 LIST_KINDS = {"changes": api.ListKind.CHANGES, "all": api.ListKind.FULL,
               "remembered": api.ListKind.REMEMBERED, "refused": api.ListKind.FAILED}
 OUTCOMES = {"Ok": api.Outcome.OK, "Failed": api.Outcome.ERROR, "QueueFull": api.Outcome.FULL,
             "TimedOut": api.Outcome.TIMEOUT, "ConnectError": api.Outcome.CONNECT_FAILED,
             "ResetByPeer": api.Outcome.RESET, "Canceled": api.Outcome.CANCELLED, "Ignored": api.Outcome.MOOT}
-REPORTS = {"busy_reqs": "in_flight", "pending": "waiting", "cpu_share": "cpu", "svc_ms": "latency",
-           "served_ps": "served_rate", "failed_ps": "error_rate", "x0": "memory_granted", "x1": "disks_busy"}
-REPORTS_IN_MS = {"svc_ms"}
 PROGRESS = {1: api.ProgressKind.SHARE_DONE, 2: api.ProgressKind.SPILLS_MB, 3: api.ProgressKind.WAITS}
 MEGABYTES_PER_UNIT = 4
 UNITS_PER_MS = 4096
@@ -34,91 +29,11 @@
     """Input that the wire does not allow; the text names the message and the field."""
 
 
-def seconds(milliseconds: float | None) -> float:
-    """The wire counts in milliseconds, the module in seconds."""
-    return (milliseconds or 0.0) / 1000.0
-
-
 def milliseconds(value: float) -> float:
     """Back to the wire's unit, at the microsecond the simulator counts in."""
     return round(value * 1000.0, 3)
 
 
-def settings_from(profile: Fields) -> api.Settings:
-    """The settings of one dispatcher."""
-    family, limits = profile.get("familyInfo", {}), profile["limits"]
-    rules, prices, stats = profile["obligations"], profile.get("prices", {}), profile.get("stats", {})
-    categories = profile["categories"]
-    threads = family.get("dop") or [1] * len(categories)
-    loads = family.get("holdsTables") or [False] * len(categories)
-    waits = family.get("yieldsToLoads") or [False] * len(categories)
-    names = profile["kinds"]
-    cores = family.get("cpuOfKind") or [1.0] * len(names)
-    memory = family.get("kindMemoryMb") or [0.0] * len(names)
-    lists = (("dop", threads, categories), ("holdsTables", loads, categories),
-             ("yieldsToLoads", waits, categories), ("cpuOfKind", cores, names),
-             ("kindMemoryMb", memory, names))
-    for field, values, wanted in lists:
-        if len(values) != len(wanted):
-            raise ValueError(f"familyInfo.{field}: {len(values)} values for {len(wanted)}")
-    classes = tuple(
-        api.QueryClass(
-            name=c["name"], aim=seconds(c["aim"]), deadline=seconds(c["deadline"]),
-            worth=c.get("importance", 1.0), late_share=c.get("lateShare", 0.0),
-            aim_stretch=c.get("aimStretch", 0.0), effect=EFFECTS[c["effect"]],
-            scope=api.Scope(c.get("group", "all")), repeat_window=seconds(c.get("window")),
-            in_order=bool(c.get("inTurn")), only_zones=_names(c.get("confinedTo")),
-            only_kinds=_names(c.get("servedOn")), threads=threads[i], holds_data_set=loads[i],
-            waits_for_loads=waits[i], streams=bool(c.get("stream")))
-        for i, c in enumerate(categories))
-    budget = None
-    if "countedOver" in rules:
-        budget = api.AttemptBudget(window=seconds(rules["countedOver"]), floor=rules.get("extraFloor", 0.0),
-                                   share=rules.get("extraPerRequest", 0.0))
-    asks = profile.get("registryMode") == "ask"
-    return api.Settings(
-        classes=classes,
-        kinds=tuple(api.Kind(n, cores[i], memory[i]) for i, n in enumerate(names)),
-        balancers=profile["balancers"], index=profile["me"], zone=profile["zone"],
-        zones=tuple(profile["zones"]),
-        tenants=tuple(api.Tenant(o["name"], o["allowancePerS"], o.get("share", 0.0))
-                      for o in profile.get("orgs", [])),
-        over_share_worth=profile.get("overShareWorth", 1.0),
-        rules=api.Rules(
-            answer_slack=seconds(rules.get("answerSlack")), drain_grace=seconds(rules["stopSendingWithin"]),
-            cold_fraction=rules["coldFrom"], ramp_time=seconds(rules["rampTime"]),
-            overload_factor=rules["overloadFactor"], overload_time=seconds(rules["overloadFor"]),
-            settle_time=seconds(rules.get("keyQuiet")),
-            list_expires=seconds(rules.get("askWithin")) if asks else None, attempt_budget=budget),
-        prices=api.Prices(
-            cross_zone=prices.get("crossZone", 0.0), waste=prices.get("waste", 0.0),
-            probe=prices.get("probe", 0.0), late_fail=prices.get("lateFail", 0.0), peer=prices.get("peer",
-            0.0)),
-        tick=seconds(profile.get("round")), max_attempts=limits["mostTries"],
-        max_retry_after=seconds(limits["maxRetryAfter"]) if limits.get("retryAfter") else None,
-        connect_timeout=seconds(limits["connectTimeout"]) if limits.get("connectTimeout") else None,
-        may_cancel=bool(limits.get("cancel")), may_probe=bool(limits.get("probing")),
-        may_message=bool(limits.get("mayTell")), second_copies=bool(limits.get("secondCopies")),
-        asks_for_list=asks, clients_mark_retries=bool(profile.get("clients", {}).get("marksRetry")),
-        memory_granted=bool(family.get("memoryHeeded")), largest_grant=family.get("largestShare") or 1.0,
-        overbooked=api.Overbooked(family.get("overbooked") or "wait"),
-        priorities=bool(family.get("takesPriority")),
-        progress_period=seconds(family["progress"]) if family.get("progress") else None,
-        bills_work=bool(family.get("bills")),
-        reports=tuple(REPORTS[c] for c in stats.get("columns", ()) if c in REPORTS)
-        if stats.get("via") != "silent" else ())
-
-
-def _names(values: list[str] | None) -> frozenset[str] | None:
-    return frozenset(values) if values else None
-
-
-def _report(info: Fields | None) -> dict[str, float] | None:
-    if not info:
-        return None
-    return {REPORTS[k]: seconds(v) if k in REPORTS_IN_MS else v for k, v in info.items() if k in REPORTS}
-
-
 def _engine(entry: Fields) -> api.Engine:
     return api.Engine(id=entry["node"], kind=entry["shape"], zone=entry.get("rackZone", ""),
                       cell=entry.get("cell", 0), state=STATES[entry["lifecycle"]],
@@ -141,7 +56,7 @@
         latency=seconds(line.get("latency")), settled=bool(line.get("settled")),
         work=seconds(billed // UNITS_PER_MS) if billed else None,
         memory_mb=float(billed % UNITS_PER_MS * MEGABYTES_PER_UNIT) if billed else None,
-        report=_report(line.get("healthInfo")))
+        report=report_from(line.get("healthInfo")))
 
 
 EVENTS: dict[str, Callable[[Fields], api.Event | None]] = {
@@ -153,7 +68,7 @@
     "Change": lambda line: api.Progress(line["tid"], line["node"], line["attempt"], PROGRESS[line["topic"]],
                                         line["value"]) if line["topic"] in PROGRESS else None,
     "CheckResult": lambda line: api.Probed(line["node"], seconds(line["latency"]),
-                                           OUTCOMES[line["stateCode"]], _report(line.get("healthInfo"))),
+                                           OUTCOMES[line["stateCode"]], report_from(line.get("healthInfo"))),
     "NoteFrom": lambda line: api.PeerMessage(line["neighbour"], line["content"]),
     "Ring": lambda line: api.TimerFired(line["mark"]),
 }
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -12,7 +12,8 @@
 
 from grebeproxy import Choice, Settings
 from grebeproxy import interface as api
-from grebeproxy.benchlink import Link, WireError, settings_from
+from grebeproxy.benchlink import Link, WireError
+from grebeproxy.settings import settings_from
 
 PROFILE: dict[str, Any] = {
     "balancers": 2, "me": 1, "zone": "z1", "zones": ["z1", "z2"], "kinds": ["k4"], "round": 5.0,
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -8,7 +8,8 @@
 ROOT = Path(__file__).parent.parent
 MODULE = ROOT / "grebeproxy" / "choice.py"
 ALLOWED = {
-    "__future__", "zlib", "functools", "math", "random", "statistics", "grebeproxy.interface", "grebeproxy.state"}
+    "__future__", "zlib", "functools", "math", "random", "statistics",
+    "grebeproxy.interface", "grebeproxy.state"}
 
 
 def test_the_module_is_short_enough_to_print() -> None:
