--- /dev/null
+++ b/grebeproxy/config.py
@@ -0,0 +1,103 @@
+"""The one place where the router's configuration is read, checked and given defaults."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from grebeproxy.interface import Settings
+from grebeproxy.net.changelog import host_and_port, known_events
+from grebeproxy.settings import WireLimits, settings_from, wire_limits_from
+
+DEFAULT_SOCKETS = 1024
+
+
+class ConfigError(Exception):
+    """Configuration that cannot be used; the text begins with the faulty key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What one router is told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    changelog: tuple[str, int]
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    settings: Settings
+    limits: WireLimits
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration that the ``BALANCER_*`` variables name; they go before the file."""
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG: is not set")
+    try:
+        told = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"BALANCER_CONFIG: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"BALANCER_CONFIG: {path}: {error}") from None
+    if not isinstance(told, dict):
+        raise ConfigError(f"BALANCER_CONFIG: {path}: must hold an object")
+    for key, variable in (("name", "BALANCER_NAME"), ("listen", "BALANCER_LISTEN")):
+        if environ.get(variable):
+            told[key] = environ[variable]
+    return parse(told)
+
+
+def parse(told: dict[str, Any]) -> Config:
+    """Check a configuration and fill in the defaults."""
+    settings = _object(told, "settings")
+    limits = told.get("limits", {})
+    try:
+        sockets = int(limits.get("sockets", DEFAULT_SOCKETS))
+    except (AttributeError, TypeError, ValueError):
+        raise ConfigError("limits.sockets: must be a whole number") from None
+    known = told.get("known", {"seq": 0, "results": []})
+    try:
+        list(known_events(known, lambda ms: ms / 1000))
+    except KeyError as error:
+        raise ConfigError(f"known: {error.args[0]}: missing or not known") from None
+    except (AttributeError, TypeError, ValueError) as error:
+        raise ConfigError(f"known: {error}") from None
+    try:
+        module, wire = settings_from(settings), wire_limits_from(settings)
+    except KeyError as error:
+        raise ConfigError(f"settings.{error.args[0]}: missing or not known") from None
+    except (AttributeError, IndexError, TypeError, ValueError) as error:
+        raise ConfigError(f"settings.{error}") from None
+    return Config(name=str(told.get("name", "grebeproxy")), listen=_address(told, "listen"),
+                  changelog=_address(told, "changelog"), seed=_seed(told.get("seed", "0")),
+                  sockets=sockets, known=known, settings=module, limits=wire)
+
+
+def _object(told: dict[str, Any], key: str) -> dict[str, Any]:
+    value = told.get(key)
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key}: must be an object")
+    return value
+
+
+def _address(told: dict[str, Any], key: str) -> tuple[str, int]:
+    value = told.get(key)
+    if not isinstance(value, str):
+        raise ConfigError(f"{key}: must be host:port")
+    try:
+        return host_and_port(value)
+    except ValueError as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        raise ConfigError("seed: must be hex digits") from None
--- /dev/null
+++ b/grebeproxy/net/changelog.py
@@ -0,0 +1,101 @@
+"""The change log's frames, and the same events as JSON in the configuration."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from grebeproxy.interface import Engine, EngineList, EngineState, ListKind, Settings
+from grebeproxy.net.messages import BadFrameError, News
+
+HEAD = struct.Struct(">IQB")
+RECORD = struct.Struct(">IIHBBBHIQ")
+AFTER_LENGTH = HEAD.size - 4
+MOST_BYTES = AFTER_LENGTH + 16384 * RECORD.size
+NOTHING, WHOLE, CHANGES = 0, 1, 2
+STATES = (EngineState.UP, EngineState.DRAINING, EngineState.GONE)
+STATE_NAMES = {"Ready": EngineState.UP, "Terminating": EngineState.DRAINING, "Gone": EngineState.GONE}
+
+Clock = Callable[[int], float]  # a Unix millisecond on the clock that the module is told
+
+
+def hello(seq: int) -> bytes:
+    """What a router writes first: the number of the last event it has."""
+    return struct.pack(">Q", seq)
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """What the frames' positions stand for."""
+
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    clock: Clock
+
+    @classmethod
+    def of(cls, settings: Settings, clock: Clock) -> Names:
+        """Those of a deployment."""
+        return cls(settings.zones, tuple(kind.name for kind in settings.kinds), clock)
+
+
+class Decoder:
+    """Splits the stream into events, however the bytes are cut."""
+
+    def __init__(self, names: Names) -> None:
+        self._names = names
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[News]:
+        """The events that these bytes complete."""
+        self._buffer += data
+        while len(self._buffer) >= HEAD.size:
+            length, seq, kind = HEAD.unpack_from(self._buffer)
+            whole_records = not (length - AFTER_LENGTH) % RECORD.size
+            if not AFTER_LENGTH <= length <= MOST_BYTES or not whole_records or kind > CHANGES:
+                raise BadFrameError(f"change log: a frame of kind {kind} and length {length}")
+            if len(self._buffer) < 4 + length:
+                return
+            records = bytes(self._buffer[HEAD.size:4 + length])
+            del self._buffer[:4 + length]
+            yield News(seq) if kind == NOTHING else self._news(seq, kind, records)
+
+    def _news(self, seq: int, kind: int, records: bytes) -> News:
+        engines, addresses = [], {}
+        for number, host, port, state, zone, shape, cell, weight, started in RECORD.iter_unpack(records):
+            if state >= len(STATES) or zone >= len(self._names.zones) or shape >= len(self._names.kinds):
+                raise BadFrameError("change log: a record with a state, zone or kind that is not known")
+            engine = f"s-{number:08x}"
+            addresses[engine] = (socket.inet_ntoa(host.to_bytes(4, "big")), port)
+            engines.append(Engine(
+                engine, self._names.kinds[shape], self._names.zones[zone], cell, STATES[state],
+                self._names.clock(started) if started else None, weight / 1000))
+        how = ListKind.FULL if kind == WHOLE else ListKind.CHANGES
+        return News(seq, EngineList(how, tuple(engines), seq), addresses)
+
+
+def known_events(known: dict[str, Any], clock: Clock) -> Iterator[News]:
+    """The events that the configuration holds, in order. Raises ValueError or KeyError naming the field."""
+    for position, result in enumerate(known["results"]):
+        fleet, seq = result["fleet"], int(result["seq"])
+        engines, addresses = [], {}
+        for entry in fleet["endpoints"]:
+            addresses[entry["name"]] = host_and_port(entry["address"])
+            started = int(entry.get("since_ms") or 0)
+            engines.append(Engine(
+                entry["name"], entry["type"], entry["zone"], int(entry.get("group", 0)),
+                STATE_NAMES[entry["status"]], clock(started) if started else None,
+                float(entry.get("weight", 1.0))))
+        whole = fleet.get("snapshot") or not position  # the first event holds the full list
+        how = ListKind.FULL if whole else ListKind.CHANGES
+        yield News(seq, EngineList(how, tuple(engines), seq), addresses)
+
+
+def host_and_port(address: str) -> tuple[str, int]:
+    """Splits ``host:port``. Raises ValueError for anything else."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{address!r} is not host:port")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/grebeproxy/net/messages.py
@@ -0,0 +1,178 @@
+"""The typed values that codecs decode to and encode from. They name no wire."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Union
+
+from grebeproxy.interface import EngineList
+
+
+class BadFrameError(Exception):
+    """Bytes that the protocol does not allow; the connection they came on cannot be read on."""
+
+
+# --- what clients say
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request; ``limit`` is how long the client waits, in seconds from when it sent it."""
+
+    msg: int
+    txn: str
+    cls: str
+    limit: float
+    body: bytes
+    tenant: str | None = None
+    resent: bool = False
+    token: str | None = None
+    work: float | None = None
+    memory_mb: float | None = None
+    key: str | None = None
+    data_set: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """A request that cannot be used, and the field that is at fault."""
+
+    msg: int
+    field: str
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """The client no longer waits for the answer."""
+
+    msg: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """The front asks whether this router serves."""
+
+    msg: int
+
+
+FromClient = Union[Call, Invalid, GiveUp, Ping]
+
+
+# --- what clients are told
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """All rows of the result, in order, as the parts they came in."""
+
+    msg: int
+    parts: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Not served, and trying again is harmless, best after ``later`` seconds."""
+
+    msg: int
+    later: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Not served; nothing is promised about the effect."""
+
+    msg: int
+    field: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """Whether this router serves."""
+
+    msg: int
+    serves: bool
+
+
+ToClient = Union[Served, Refused, Failed, Pong]
+
+
+# --- what engines are told
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Run a request; ``wait`` is how long its answer is waited for, in seconds."""
+
+    txn: str
+    cls: str
+    wait: float
+    body: bytes
+    token: str | None = None
+    memory_mb: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Give a request up."""
+
+    txn: str
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Send a further page, counted from 1."""
+
+    txn: str
+    page: int
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """No more pages are wanted."""
+
+    txn: str
+
+
+ToEngine = Union[Run, Stop, Fetch, End]
+
+
+# --- what engines say
+
+
+class Word(Enum):
+    """What an engine's answer is."""
+
+    OK = "ok"
+    FULL = "full"
+    ERROR = "error"
+    STALE = "stale"
+    PAGE = "page"
+    ALIVE = "alive"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineAnswer:
+    """An answer; ``pages`` comes with OK, ``page`` with PAGE."""
+
+    txn: str
+    word: Word
+    body: bytes = b""
+    pages: int = 1
+    page: int = 0
+    report: dict[str, float] | None = None
+
+
+# --- what the change log says
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """One event of the change log; without a list it only says that the log is alive.
+
+    ``addresses`` holds host and port by engine id.
+    """
+
+    seq: int
+    change: EngineList | None = None
+    addresses: dict[str, tuple[str, int]] | None = None
--- /dev/null
+++ b/grebeproxy/net/router.py
@@ -0,0 +1,692 @@
+"""The router's state and its one reducer: ``step`` takes what happened and gives the effects to carry out.
+
+It owns requests, attempts, pages, connections to engines and the state of the change log, and asks the
+decision module what to do. It does no input or output, reads no clock and names no wire.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from heapq import heappop, heappush
+from itertools import count
+from typing import Any, Union
+
+from grebeproxy import interface as api
+from grebeproxy.choice import Choice
+from grebeproxy.net.messages import (
+    Call, End, EngineAnswer, Failed, Fetch, FromClient, GiveUp, Invalid, News, Ping, Pong, Refused, Run,
+    Served, Stop, ToClient, ToEngine, Word)
+from grebeproxy.settings import WireLimits
+
+TRANSIT = 0.010  # seconds of a client's limit kept for the request's and the answer's way
+SETTLE = 0.010  # a stop is on its way so long before its attempt counts as ended
+OPEN_PER_CLIENT = 32
+MOST_PAGES, MOST_RESULT = 64, 256 * 1024  # far above the 8 pages and 48,000 bytes of a result
+IDLE_SHARE = 0.8  # of the engines' idle time-out: closing first keeps requests from crossing their close
+LINK_SHARE = 3  # a third of the descriptors may be connections to engines; clients have another
+LOG_SILENCE = 2.5  # a frame is due each second
+LOG_BACKOFF, LOG_BACKOFF_MOST = 0.1, 1.0
+ACCEPT_AFTER_STOP, SERVE_AFTER_STOP = 0.4, 0.7  # seconds that connections and requests still come
+
+Address = tuple[str, int]
+
+
+# --- events
+
+
+@dataclass(frozen=True, slots=True)
+class ClientSaid:
+    """A client's message, read whole."""
+
+    conn: int
+    message: FromClient
+
+
+@dataclass(frozen=True, slots=True)
+class ClientClosed:
+    """A client's connection has ended."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkOpened:
+    """A connection to an engine is up."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkClosed:
+    """A connection to an engine has ended or could not be made."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkPaused:
+    """What was written last is not sent whole yet: nothing more may be written."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkResumed:
+    """All that was written is sent."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkSaid:
+    """An engine's answer, read whole."""
+
+    link: int
+    answer: EngineAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class LogSaid:
+    """An event of the change log."""
+
+    news: News
+
+
+@dataclass(frozen=True, slots=True)
+class LogClosed:
+    """The connection to the change log has ended or could not be made."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    """The time asked for with ``Wake`` has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopAsked:
+    """The router is to finish what it has and end."""
+
+
+Event = Union[ClientSaid, ClientClosed, LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid, LogSaid,
+              LogClosed, Woken, StopAsked]
+
+
+# --- effects
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Write to a client."""
+
+    conn: int
+    message: ToClient
+
+
+@dataclass(frozen=True, slots=True)
+class CloseClient:
+    """End a client's connection."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenLink:
+    """Connect to an engine."""
+
+    link: int
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Write to an engine."""
+
+    link: int
+    commands: tuple[ToEngine, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CloseLink:
+    """End a connection to an engine, or give up making it. No ``LinkClosed`` follows."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenLog:
+    """Connect to the change log, ending an earlier connection, and ask for what came after an event."""
+
+    seq: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Send ``Woken`` at that time; replaces an earlier ``Wake``."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Write a line to the log."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopListening:
+    """Take no more connections."""
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """All is answered: end the program once what was written is sent."""
+
+
+Effect = Union[Answer, CloseClient, OpenLink, Write, CloseLink, OpenLog, Wake, Note, StopListening, Exit]
+
+
+# --- state
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """What a client asked for; kept until it is answered and no attempt is out."""
+
+    call: Call
+    conn: int
+    due: float
+    owed: bool = True  # the client still waits for its answer
+    attempts: int = 0
+    out: Attempt | None = None
+    memory_mb: float | None = None
+    # Links on which an earlier attempt was given up. Guards against taking its late answer, which has the
+    # same id, for a later attempt's.
+    spent: set[int] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One try of a request at an engine."""
+
+    request: Request
+    number: int
+    engine: str
+    sent: float
+    until: float
+    link: Link | None = None
+    written: bool = False
+    stopped: bool = False
+    pages: list[bytes | None] | None = None
+    size: int = 0
+    report: dict[str, float] | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """A connection to an engine."""
+
+    id: int
+    engine: str
+    opened: float
+    heard: float
+    idle_since: float
+    up: bool = False
+    paused: bool = False
+    retired: bool = False  # takes no further attempts and ends with its last
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    unsent: list[Attempt] = field(default_factory=list)  # written last, and not sent whole while paused
+
+
+@dataclass(slots=True)
+class Place:
+    """Where an engine listens, and since when, if it started lately."""
+
+    address: Address
+    started: float | None
+
+
+class Router:
+    """One query router. ``decide`` makes its decision module; tests may put another in its place."""
+
+    def __init__(self, settings: api.Settings, limits: WireLimits, *, sockets: int, seed: int, now: float,
+                 known: Iterable[News] = (),
+                 decide: Callable[[api.Settings, float, int], Any] = Choice) -> None:
+        # Probes, messages between routers and asking for the list have no form on sockets.
+        self.settings = replace(settings, may_probe=False, may_message=False, asks_for_list=False)
+        self.limits, self.now = limits, now
+        self._choice = decide(self.settings, now, seed)
+        self._most_links = max(1, sockets // LINK_SHARE)
+        self._requests: dict[str, Request] = {}
+        self._clients: dict[int, dict[int, Request]] = {}
+        self._links: dict[int, Link] = {}
+        self._engine_links: dict[str, list[Link]] = {}
+        self._places: dict[str, Place] = {}
+        self._pending: list[api.Event] = []
+        self._next_round = now
+        self._timers: list[tuple[float, int, Callable[[Any], None], Any]] = []
+        self._numbers = count(1)
+        self._commands: dict[int, list[ToEngine]] = {}
+        self._effects: list[Effect] = []
+        self._wake_at: float | None = None
+        self._seq, self._log_heard, self._log_backoff = 0, now, LOG_BACKOFF
+        self._log_open = False
+        self._stopping = self._refusing = self._done = False
+        for news in known:
+            self._seq = news.seq
+            self._apply(news)
+
+    def start(self, now: float) -> list[Effect]:
+        """The first effects."""
+        self.now, self._effects = now, []
+        self._dial_log(None)
+        return self._finish()
+
+    def step(self, now: float, events: Iterable[Event]) -> list[Effect]:
+        """Take what happened, in order, and tell what is to be done."""
+        self.now, self._effects = now, []
+        for event in events:
+            self._on(event)
+        while self._timers and self._timers[0][0] <= now:
+            _, _, call, subject = heappop(self._timers)
+            call(subject)
+        return self._finish()
+
+    def _finish(self) -> list[Effect]:
+        if self._pending and self.now >= self._next_round:
+            self._next_round = self.now + self.settings.tick
+            events, self._pending = self._pending, []
+            for action in self._choice.handle(self.now, events):
+                self._act(action)
+        if self._refusing and not self._done and not any(r.owed for r in self._requests.values()):
+            self._done = True
+            self._effects.append(Exit())
+        for link, commands in self._commands.items():
+            self._effects.append(Write(link, tuple(commands)))
+        self._commands.clear()
+        self._ask_to_wake()
+        return self._effects
+
+    def _ask_to_wake(self) -> None:
+        at = self._timers[0][0] if self._timers else None
+        if self._pending:
+            at = self._next_round if at is None else min(at, self._next_round)
+        if at is not None and (self._wake_at is None or at < self._wake_at or self._wake_at <= self.now):
+            self._wake_at = at
+            self._effects.append(Wake(at))
+
+    def _at(self, at: float, call: Callable[[Any], None], subject: Any) -> None:
+        heappush(self._timers, (at, next(self._numbers), call, subject))
+
+    def _on(self, event: Event) -> None:
+        match event:
+            case ClientSaid(conn, Call() as call):
+                self._take(conn, call)
+            case ClientSaid(conn, GiveUp(msg)):
+                # One that crossed the answer names nothing that is open, and is over already.
+                if msg in self._clients.get(conn, ()):
+                    self._abandon(self._clients[conn][msg])
+            case ClientSaid(conn, Ping(msg)):
+                self._effects.append(Answer(conn, Pong(msg, not self._stopping)))
+            case ClientSaid(conn, Invalid(msg, name)):
+                self._effects.append(Answer(conn, Failed(msg, name)))
+            case ClientClosed(conn):
+                for request in list(self._clients.pop(conn, {}).values()):
+                    self._abandon(request)
+            case LinkSaid(number, answer):
+                if number in self._links:
+                    self._heard(self._links[number], answer)
+            case LinkOpened(number):
+                if number in self._links:
+                    self._links[number].up = True
+                    self._flush(self._links[number])
+            case LinkClosed(number):
+                if number in self._links:
+                    self._drop(self._links[number], tell=False)
+            case LinkPaused(number):
+                if number in self._links:
+                    self._links[number].paused = True
+            case LinkResumed(number):
+                if number in self._links:
+                    self._links[number].paused = False
+                    self._flush(self._links[number])
+            case LogSaid(news):
+                self._read_log(news)
+            case LogClosed(reason):
+                self._lose_log(reason)
+            case StopAsked():
+                if not self._stopping:
+                    self._stopping = True
+                    self._at(self.now + ACCEPT_AFTER_STOP, self._stop_listening, None)
+                    self._at(self.now + SERVE_AFTER_STOP, self._start_refusing, None)
+            case Woken():
+                self._wake_at = None
+
+    # --- requests
+
+    def _take(self, conn: int, call: Call) -> None:
+        opened = self._clients.setdefault(conn, {})
+        if call.msg in opened:
+            # Two answers under one id could not be told apart: nothing on this connection can be trusted.
+            self._effects.append(CloseClient(conn))
+            for request in list(self._clients.pop(conn).values()):
+                self._abandon(request)
+        elif call.txn in self._requests:
+            # Guards against a second request under an id that an engine still has: their answers would mix.
+            self._effects.append(Answer(conn, Failed(call.msg, "txn")))
+        elif (self._refusing or len(opened) >= OPEN_PER_CLIENT
+              or len(self._requests) >= self.limits.max_open):
+            self._effects.append(Answer(conn, Refused(call.msg, self.settings.max_retry_after)))
+        else:
+            request = Request(call, conn, self.now + call.limit - TRANSIT)
+            self._requests[call.txn] = opened[call.msg] = request
+            self._pending.append(api.Query(
+                call.txn, call.cls, request.due, tenant=call.tenant, key=call.key, data_set=call.data_set,
+                work=call.work, memory_mb=call.memory_mb, resent=call.resent))
+
+    def _abandon(self, request: Request) -> None:
+        """The client waits no more: nothing is owed, and what runs for it is given up."""
+        self._settle(request)
+        self._pending.append(api.Gone(request.call.txn))
+        if request.out is not None:
+            self._give_up(request.out, api.Outcome.CANCELLED)
+        self._forget(request)
+
+    def _answer(self, request: Request, message: ToClient) -> None:
+        """The one final answer."""
+        if request.owed:
+            self._settle(request)
+            self._effects.append(Answer(request.conn, message))
+        self._forget(request)
+
+    def _settle(self, request: Request) -> None:
+        request.owed = False
+        opened = self._clients.get(request.conn)
+        if opened is not None:
+            opened.pop(request.call.msg, None)
+            if not opened:
+                del self._clients[request.conn]
+
+    def _forget(self, request: Request) -> None:
+        if not request.owed and request.out is None:
+            self._requests.pop(request.call.txn, None)
+
+    # --- what the module decides
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.SetTerms():
+                if action.id in self._requests:
+                    self._requests[action.id].memory_mb = action.memory_mb
+            case api.Refuse():
+                if (request := self._requests.get(action.id)) is not None:
+                    self._answer(request, Refused(request.call.msg, action.come_back))
+            case api.Fail():
+                if (request := self._requests.get(action.id)) is not None:
+                    self._answer(request, Failed(request.call.msg))
+            case api.Cancel():
+                request = self._requests.get(action.id)
+                if request and request.out and request.out.number == action.attempt:
+                    self._give_up(request.out, api.Outcome.CANCELLED)
+            case api.SetTimer():
+                self._at(self.now + action.delay, self._fire, action.name)
+            case api.Log():
+                self._effects.append(Note(action.text))
+
+    def _fire(self, name: str) -> None:
+        self._pending.append(api.TimerFired(name))
+
+    # --- attempts
+
+    def _send(self, action: api.Send) -> None:
+        request = self._requests.get(action.id)
+        if request is None:
+            return
+        attempt = Attempt(request, request.attempts, action.engine, self.now, min(action.until, request.due))
+        request.attempts += 1
+        if not request.owed or request.out is not None or attempt.until <= self.now:
+            # Guards the rule of one attempt at a time, whatever was decided.
+            self._report(attempt, api.Outcome.MOOT)
+            return
+        request.out = attempt
+        link = self._link_for(attempt)
+        if link is None:
+            self._end(attempt, api.Outcome.CONNECT_FAILED)
+            return
+        attempt.link = link
+        link.attempts[action.id] = attempt
+        self._at(attempt.until, self._expire, attempt)
+        self._flush(link)
+
+    def _expire(self, attempt: Attempt) -> None:
+        if attempt.request.out is attempt:
+            self._give_up(attempt, api.Outcome.TIMEOUT)
+
+    def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        """Stop an attempt; it counts as ended once the engine can have heard of it."""
+        link, request = attempt.link, attempt.request
+        if attempt.stopped or link is None:
+            return
+        attempt.stopped = True
+        if not attempt.written:  # it never left, and now it never will
+            self._end(attempt, outcome)
+            return
+        request.spent.add(link.id)
+        if link.paused and attempt in link.unsent:
+            # Guards against a request that is sent after its attempt has ended: the rest of it is still here.
+            self._drop(link)
+            return
+        txn = request.call.txn
+        self._command(link, Stop(txn) if attempt.pages is None else End(txn))
+        if link.heard <= attempt.sent:
+            # Nothing was heard since: the machine behind may be gone, and only a new connection can tell.
+            link.retired = True
+        self._detach(attempt)
+        self._at(self.now + SETTLE, self._settled, (attempt, outcome))
+
+    def _settled(self, stopped: tuple[Attempt, api.Outcome]) -> None:
+        self._end(*stopped)
+
+    def _end(self, attempt: Attempt, outcome: api.Outcome, settled: bool = False) -> None:
+        """An attempt is over: the module hears of it once, however it ended."""
+        if attempt.request.out is not attempt:
+            return
+        self._detach(attempt)
+        attempt.request.out = None
+        self._report(attempt, outcome, settled)
+        self._forget(attempt.request)
+
+    def _report(self, attempt: Attempt, outcome: api.Outcome, settled: bool = False) -> None:
+        self._pending.append(api.AttemptEnded(
+            attempt.request.call.txn, attempt.engine, attempt.number, outcome, self.now - attempt.sent,
+            settled=settled, report=attempt.report))
+
+    def _heard(self, link: Link, answer: EngineAnswer) -> None:
+        link.heard = self.now
+        attempt = link.attempts.get(answer.txn)
+        if attempt is None or not attempt.written:
+            return  # the late answer of an attempt that was given up
+        attempt.report = answer.report or attempt.report
+        match answer.word:
+            case Word.OK if attempt.pages is None:
+                if not 1 <= answer.pages <= MOST_PAGES:
+                    self._end(attempt, api.Outcome.ERROR)
+                    return
+                attempt.pages = [None] * answer.pages
+                self._add_page(attempt, 0, answer.body)
+                if answer.pages > 1 and attempt.request.out is attempt:
+                    self._command(link, *(Fetch(answer.txn, page) for page in range(1, answer.pages)))
+            case Word.PAGE if attempt.pages is not None and 1 <= answer.page < len(attempt.pages):
+                self._add_page(attempt, answer.page, answer.body)
+            case Word.FULL if attempt.pages is None:
+                self._end(attempt, api.Outcome.FULL)
+            case Word.STALE if attempt.pages is None:
+                self._end(attempt, api.Outcome.MOOT)
+            case Word.ALIVE:
+                pass
+            case _:  # also a page that the engine lost: it ran, and a short answer would be wrong
+                self._end(attempt, api.Outcome.ERROR)
+
+    def _add_page(self, attempt: Attempt, number: int, body: bytes) -> None:
+        pages, request = attempt.pages or [], attempt.request
+        attempt.size += len(body) if pages[number] is None else 0
+        pages[number] = body
+        if attempt.size > MOST_RESULT:
+            self._end(attempt, api.Outcome.ERROR)
+        elif None not in pages:
+            parts = tuple(page for page in pages if page is not None)
+            self._answer(request, Served(request.call.msg, parts))
+            self._end(attempt, api.Outcome.OK, settled=True)
+
+    # --- connections to engines
+
+    def _link_for(self, attempt: Attempt) -> Link | None:
+        """A connection that has room and cannot carry a late answer for the request, else a new one."""
+        links = [link for link in self._engine_links.get(attempt.engine, ())
+                 if not link.retired and link.id not in attempt.request.spent
+                 and len(link.attempts) < self.limits.multiplex]
+        if links:
+            return max(links, key=lambda link: (link.up and not link.paused, -link.id))
+        place = self._places.get(attempt.engine)
+        if place is None or len(self._links) >= self._most_links:
+            return None
+        link = Link(next(self._numbers), attempt.engine, self.now, self.now, self.now)
+        self._links[link.id] = link
+        self._engine_links.setdefault(attempt.engine, []).append(link)
+        self._effects.append(OpenLink(link.id, place.address))
+        self._at(self.now + self.limits.connect_timeout, self._check_open, link)
+        return link
+
+    def _check_open(self, link: Link) -> None:
+        if not link.up and link.id in self._links:
+            self._drop(link)
+
+    def _flush(self, link: Link) -> None:
+        """Write what waits for the connection; while it is paused, nothing is buffered behind it."""
+        if not link.up or link.paused:
+            return
+        waiting = [attempt for attempt in link.attempts.values() if not attempt.written]
+        if not waiting:
+            return
+        if link.id not in self._commands:
+            link.unsent = []
+        for attempt in waiting:
+            attempt.written = True
+            call = attempt.request.call
+            self._command(link, Run(call.txn, call.cls, attempt.until - self.now, call.body, call.token,
+                                    attempt.request.memory_mb))
+        link.unsent += waiting
+
+    def _command(self, link: Link, *commands: ToEngine) -> None:
+        if link.id in self._links:
+            self._commands.setdefault(link.id, []).extend(commands)
+
+    def _detach(self, attempt: Attempt) -> None:
+        link, attempt.link = attempt.link, None
+        if link is None or link.attempts.pop(attempt.request.call.txn, None) is None or link.attempts:
+            return
+        link.idle_since = self.now
+        if link.retired:
+            self._drop(link)
+        else:
+            self._at(self.now + IDLE_SHARE * self.limits.idle_timeout, self._check_idle, link)
+
+    def _check_idle(self, link: Link) -> None:
+        idle = self.now - link.idle_since >= IDLE_SHARE * self.limits.idle_timeout - 1e-6
+        if link.id in self._links and not link.attempts and idle:
+            self._drop(link)
+
+    def _drop(self, link: Link, tell: bool = True) -> None:
+        """End a connection. What was written to it may have run; what was not never did."""
+        if self._links.pop(link.id, None) is None:
+            return
+        self._engine_links[link.engine].remove(link)
+        if tell:
+            if commands := self._commands.pop(link.id, None):
+                self._effects.append(Write(link.id, tuple(commands)))
+            self._effects.append(CloseLink(link.id))
+        else:
+            self._commands.pop(link.id, None)
+        for attempt in list(link.attempts.values()):
+            self._end(attempt, api.Outcome.RESET if attempt.written else api.Outcome.CONNECT_FAILED)
+
+    # --- the change log
+
+    def _dial_log(self, _: None) -> None:
+        self._log_open, self._log_heard = True, self.now
+        self._effects.append(OpenLog(self._seq))
+        self._at(self.now + LOG_SILENCE, self._check_log, None)
+
+    def _check_log(self, _: None) -> None:
+        """Silence ends a connection to the log as a reset does."""
+        if not self._log_open:
+            return
+        if self.now - self._log_heard >= LOG_SILENCE - 1e-6:
+            self._lose_log("silent")
+        else:
+            self._at(self._log_heard + LOG_SILENCE, self._check_log, None)
+
+    def _lose_log(self, reason: str) -> None:
+        if self._log_open:
+            self._log_open = False
+            self._effects.append(Note(f"change log: {reason}; trying again after event {self._seq}"))
+            self._at(self.now + self._log_backoff, self._dial_log, None)
+            self._log_backoff = min(LOG_BACKOFF_MOST, 2 * self._log_backoff)
+
+    def _read_log(self, news: News) -> None:
+        if not self._log_open:
+            return
+        self._log_heard, self._log_backoff = self.now, LOG_BACKOFF
+        if news.change is None or news.seq <= self._seq:  # a sign of life, or a repeat
+            return
+        if news.change.how is not api.ListKind.FULL and news.seq != self._seq + 1:
+            self._lose_log(f"event {news.seq} came after {self._seq}")
+            return
+        self._seq = news.seq
+        self._apply(news)
+
+    def _apply(self, news: News) -> None:
+        change, addresses = news.change, news.addresses or {}
+        if change is None:
+            return
+        if change.how is api.ListKind.FULL:
+            for engine in self._places.keys() - addresses.keys():
+                self._retire(engine)
+        for entry in change.engines:
+            address = addresses[entry.id]
+            if entry.state is not api.EngineState.GONE:
+                # Guards against an engine that gets the address of one that has gone: a connection made for
+                # the old one must not carry anything for it.
+                for other, place in list(self._places.items()):
+                    if other != entry.id and place.address == address:
+                        self._retire(other, drop=True)
+                        del self._places[other]
+            old = self._places.get(entry.id)
+            self._places[entry.id] = Place(address, entry.started)
+            if entry.state is not api.EngineState.UP:
+                self._retire(entry.id)
+            elif old is not None and (old.address != address or old.started != entry.started):
+                moved = old.address != address
+                for link in list(self._engine_links.get(entry.id, ())):
+                    if moved or link.opened < (entry.started or 0.0):  # its process has ended since
+                        self._drop(link)
+        self._pending.append(change)
+
+    def _retire(self, engine: str, drop: bool = False) -> None:
+        for link in list(self._engine_links.get(engine, ())):
+            link.retired = True
+            if drop or not link.attempts:
+                self._drop(link)
+
+    # --- the end
+
+    def _stop_listening(self, _: None) -> None:
+        self._effects.append(StopListening())
+
+    def _start_refusing(self, _: None) -> None:
+        self._refusing = True
--- /dev/null
+++ b/grebeproxy/net/runtime.py
@@ -0,0 +1,324 @@
+"""Sockets and timers: hands what happens to the router and carries out the effects it asks for.
+
+Nothing is decided here. Each connection is an asyncio protocol that decodes bytes to typed values.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import math
+import signal
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import Protocol, TypeVar, cast
+
+import uvloop
+
+from grebeproxy.config import Config
+from grebeproxy.net import changelog, msgpack_rpc, resp, router
+from grebeproxy.net.messages import BadFrameError, EngineAnswer, FromClient, News
+
+MOST_UNSENT = 2 * 1024 * 1024  # per client: over 32 answers of 48,000 bytes, all a client may have open
+MOST_UNSENT_TOGETHER = 48 * 1024 * 1024  # of the 192 MB, for all clients that are slow to read
+GC_THRESHOLDS = (20_000, 20, 50)  # few collections, each of them short: what start-up made is left out
+EXIT_GRACE = 2.0  # seconds to send what is written when all is answered
+
+Message = TypeVar("Message", covariant=True)
+
+
+class Splitter(Protocol[Message]):
+    """A codec's decoder."""
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """The messages that these bytes complete."""
+
+
+class Connection(asyncio.Protocol):
+    """Decodes what comes in and reports it; what is reported is up to the kinds below."""
+
+    def __init__(self, runtime: Runtime, decoder: Splitter[object]) -> None:
+        self.runtime, self.decoder = runtime, decoder
+        self.transport: asyncio.Transport | None = None
+        self.ended = False  # the router knows of the end, or asked for it
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, or end it where it was given up meanwhile."""
+        self.transport = cast(asyncio.Transport, transport)
+        if self.ended:
+            self.transport.abort()
+        else:
+            self.opened()
+
+    def data_received(self, data: bytes) -> None:
+        """Report each message; bytes that cannot be read end the connection."""
+        if self.ended:
+            return
+        events: list[router.Event] = []
+        try:
+            events.extend(map(self.said, self.decoder.feed(data)))
+        except BadFrameError as error:
+            self.runtime.log(str(error))
+            self.runtime.feed(*events)
+            self.end(str(error))
+            return
+        self.runtime.feed(*events)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end."""
+        self.end(str(exc or "closed"))
+
+    def end(self, reason: str) -> None:
+        """Report the end once and close."""
+        if not self.ended:
+            self.close()
+            self.runtime.feed(self.closed(reason))
+
+    def close(self) -> None:
+        """Close without a report."""
+        self.ended = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def opened(self) -> None:
+        """The connection is up."""
+
+    def said(self, message: object) -> router.Event:
+        """The event of a message."""
+        raise NotImplementedError
+
+    def closed(self, reason: str) -> router.Event:
+        """The event of the end."""
+        raise NotImplementedError
+
+
+class Client(Connection):
+    """A client's connection."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        super().__init__(runtime, msgpack_rpc.Decoder(runtime.config.settings))
+        self.number = runtime.next_number()
+
+    def opened(self) -> None:
+        """Count it in."""
+        self.runtime.clients[self.number] = self
+
+    def said(self, message: object) -> router.Event:
+        """A client's message."""
+        return router.ClientSaid(self.number, cast(FromClient, message))
+
+    def closed(self, reason: str) -> router.Event:
+        """Count it out."""
+        self.runtime.clients.pop(self.number, None)
+        return router.ClientClosed(self.number)
+
+    def write(self, data: bytes) -> None:
+        """Send an answer; a client that reads none of its answers loses its connection."""
+        transport = self.transport
+        if transport is None or self.ended:
+            return
+        transport.write(data)
+        unsent = transport.get_write_buffer_size()
+        if unsent > MOST_UNSENT or (unsent and self.runtime.unsent() > MOST_UNSENT_TOGETHER):
+            self.end("the client does not read its answers")
+
+    def pause_writing(self) -> None:
+        """Take no further requests from a client that does not read."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """It reads again."""
+        if self.transport is not None and not self.ended:
+            self.transport.resume_reading()
+
+
+class Link(Connection):
+    """A connection to an engine."""
+
+    def __init__(self, runtime: Runtime, number: int) -> None:
+        super().__init__(runtime, resp.Decoder())
+        self.number = number
+
+    def opened(self) -> None:
+        """Report it; with no high-water mark, a pause means that the last write was not sent whole."""
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=0)
+        self.runtime.feed(router.LinkOpened(self.number))
+
+    def said(self, message: object) -> router.Event:
+        """An engine's answer."""
+        return router.LinkSaid(self.number, cast(EngineAnswer, message))
+
+    def closed(self, reason: str) -> router.Event:
+        """The connection is gone."""
+        self.runtime.links.pop(self.number, None)
+        return router.LinkClosed(self.number)
+
+    def pause_writing(self) -> None:
+        """The last write is not sent whole."""
+        self.runtime.feed(router.LinkPaused(self.number))
+
+    def resume_writing(self) -> None:
+        """All is sent."""
+        if not self.ended:
+            self.runtime.feed(router.LinkResumed(self.number))
+
+
+class Log(Connection):
+    """The connection to the change log."""
+
+    def __init__(self, runtime: Runtime, seq: int) -> None:
+        names = changelog.Names.of(runtime.config.settings, runtime.clock)
+        super().__init__(runtime, changelog.Decoder(names))
+        self._seq = seq
+
+    def opened(self) -> None:
+        """Ask for what came after the last event."""
+        assert self.transport is not None
+        self.transport.write(changelog.hello(self._seq))
+
+    def said(self, message: object) -> router.Event:
+        """An event of the log."""
+        return router.LogSaid(cast(News, message))
+
+    def closed(self, reason: str) -> router.Event:
+        """The connection is gone."""
+        return router.LogClosed(reason)
+
+
+class Runtime:
+    """Runs one router on an event loop."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.clients: dict[int, Client] = {}
+        self.links: dict[int, Link] = {}
+        self._log_link: Log | None = None
+        self._server: asyncio.Server | None = None
+        self._wake: asyncio.TimerHandle | None = None
+        self._events: deque[router.Event] = deque()
+        self._stepping = False
+        self._numbers = iter(range(1, sys.maxsize))
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._done = asyncio.Event()
+        self._router = router.Router(
+            config.settings, config.limits, sockets=config.sockets, seed=config.seed, now=time.monotonic(),
+            known=changelog.known_events(config.known, self.clock))
+
+    def next_number(self) -> int:
+        """A number for a client's connection."""
+        return next(self._numbers)
+
+    @staticmethod
+    def clock(unix_ms: int) -> float:
+        """A Unix millisecond on the monotonic clock."""
+        return unix_ms / 1000 - time.time() + time.monotonic()
+
+    @staticmethod
+    def log(text: str) -> None:
+        """One line for whoever runs the router."""
+        print(text, file=sys.stderr, flush=True)
+
+    def unsent(self) -> int:
+        """Bytes that clients have not read yet."""
+        return sum(c.transport.get_write_buffer_size() for c in self.clients.values() if c.transport)
+
+    async def serve(self) -> None:
+        """Serve until asked to stop and all is answered."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.feed, router.StopAsked())
+        self._carry_out(self._router.start(time.monotonic()))
+        host, port = self.config.listen
+        self._server = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
+        # Guards against collections that stall the loop: keys are ordered by when requests are read.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        self.log(f"{self.config.name}: serving on {host}:{port}")
+        await self._done.wait()
+        for client in list(self.clients.values()):
+            if client.transport is not None:
+                client.transport.close()
+        until = time.monotonic() + EXIT_GRACE
+        while self.unsent() and time.monotonic() < until:
+            await asyncio.sleep(0.01)
+
+    def feed(self, *events: router.Event) -> None:
+        """Let the router take events; those that its effects bring about are taken next."""
+        self._events.extend(events)
+        if self._stepping:
+            return
+        self._stepping = True
+        try:
+            while self._events:
+                batch = list(self._events)
+                self._events.clear()
+                self._carry_out(self._router.step(time.monotonic(), batch))
+        finally:
+            self._stepping = False
+
+    def _carry_out(self, effects: list[router.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case router.Answer(number, message):
+                    if (client := self.clients.get(number)) is not None:
+                        client.write(msgpack_rpc.encode(message))
+                case router.Write(number, commands):
+                    if (link := self.links.get(number)) is not None and link.transport is not None:
+                        link.transport.write(b"".join(map(resp.encode, commands)))
+                case router.Wake(at):
+                    self._wake_at(at)
+                case router.OpenLink(number, address):
+                    self.links[number] = made = Link(self, number)
+                    self._connect(made, address)
+                case router.CloseLink(number):
+                    if (gone := self.links.pop(number, None)) is not None:
+                        gone.close()
+                case router.CloseClient(number):
+                    if (leaving := self.clients.pop(number, None)) is not None:
+                        leaving.close()
+                case router.OpenLog(seq):
+                    if self._log_link is not None:
+                        self._log_link.close()
+                    self._log_link = Log(self, seq)
+                    self._connect(self._log_link, self.config.changelog)
+                case router.Note(text):
+                    self.log(text)
+                case router.StopListening():
+                    if self._server is not None:
+                        self._server.close()
+                case router.Exit():
+                    self._done.set()
+
+    def _wake_at(self, at: float) -> None:
+        if self._wake is not None:
+            self._wake.cancel()
+        # The loop's timers count in milliseconds: rounded up, or it would come back early and spin.
+        delay = max(0.0, math.ceil((at - time.monotonic()) * 1000) / 1000)
+        self._wake = asyncio.get_running_loop().call_later(delay, self.feed, router.Woken())
+
+    def _connect(self, connection: Connection, address: tuple[str, int]) -> None:
+        task = asyncio.get_running_loop().create_task(self._make(connection, address))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _make(self, connection: Connection, address: tuple[str, int]) -> None:
+        """Connect. One that the router has given up meanwhile is closed as soon as it is up."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(lambda: connection, *address)
+        except OSError as error:  # refused, unreachable, or no descriptor is left
+            connection.end(str(error))
+
+
+def run(config: Config, make_runtime: Callable[[Config], Runtime] = Runtime) -> None:
+    """Serve on uvloop until asked to stop."""
+
+    async def serve() -> None:
+        await make_runtime(config).serve()
+
+    uvloop.run(serve())
