Test the router on recorded byte exchanges, and bound what statements and frames may hold

Each recording is played against the whole program but its sockets, on its own clock, whole and cut into parts of 1 and 7 bytes. Writing them showed two faults, mended here: pages of an attempt that had failed could be taken for those of the next one on the same connection (router.py, _end), and a connection was ended after any give-up on which nothing had been heard, however young (router.py, _give_up).

--- a/grebeproxy/net/msgpack_rpc.py
+++ b/grebeproxy/net/msgpack_rpc.py
@@ -15,7 +15,7 @@
 from grebeproxy.net.statement import table_group
 
 REQUEST, RESPONSE, NOTIFICATION = 0, 1, 2
-MOST_BYTES = 1024 * 1024  # one message: a statement and a few fields
+MOST_BYTES = 256 * 1024  # one message: a statement and a few fields
 MOST_WAIT_MS = 3_600_000.0
 TXN = re.compile(r"[0-9a-fA-F]{16}")
 # What engines are told of: a comma or an equals sign would end the field there.
@@ -39,7 +39,7 @@
                 for message in self._unpacker:
                     yield self._message(message)
         except (ValueError, msgpack.UnpackException, TypeError) as error:
-            raise BadFrameError(f"client: {error or type(error).__name__}") from None
+            raise BadFrameError(f"client: {str(error) or type(error).__name__}") from None
 
     def _message(self, message: object) -> FromClient:
         match message:
--- a/grebeproxy/net/resp.py
+++ b/grebeproxy/net/resp.py
@@ -11,7 +11,7 @@
 from grebeproxy.net.messages import BadFrameError, End, EngineAnswer, Fetch, Run, Stop, ToEngine, Word
 from grebeproxy.settings import report_from
 
-MOST_BYTES = 256 * 1024  # one answer is a page of 6,000 bytes and its fields; far more is no answer
+MOST_BYTES = 64 * 1024  # one answer is a page of 6,000 bytes and its fields; far more is no answer
 WORDS = {b"ok": Word.OK, b"refused": Word.FULL, b"error": Word.ERROR, b"stale": Word.STALE,
          b"batch": Word.PAGE, b"yes": Word.ALIVE}
 
--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
-from typing import Any, Union
+from typing import Any, Protocol, Union
 
 from grebeproxy import interface as api
 from grebeproxy.choice import Choice
@@ -22,7 +22,8 @@
 TRANSIT = 0.010  # seconds of a client's limit kept for the request's and the answer's way
 SETTLE = 0.010  # a stop is on its way so long before its attempt counts as ended
 OPEN_PER_CLIENT = 32
-MOST_PAGES, MOST_RESULT = 64, 256 * 1024  # far above the 8 pages and 48,000 bytes of a result
+MOST_PAGES, MOST_RESULT = 64, 64 * 1024  # above the 8 pages and 48,000 bytes of a result
+MOST_BODIES = 32 * 1024 * 1024  # bytes of all statements that are open, of the 192 MB
 IDLE_SHARE = 0.8  # of the engines' idle time-out: closing first keeps requests from crossing their close
 LINK_SHARE = 3  # a third of the descriptors may be connections to engines; clients have another
 LOG_SILENCE = 2.5  # a frame is due each second
@@ -32,6 +33,16 @@
 Address = tuple[str, int]
 
 
+class Module(Protocol):
+    """A decision module."""
+
+    def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
+        """Take the events of one moment, in order, and decide."""
+
+
+Decide = Callable[[api.Settings, float, int], Module]  # makes a module for settings, at a time, with a seed
+
+
 # --- events
 
 
@@ -254,13 +265,14 @@
 
     def __init__(self, settings: api.Settings, limits: WireLimits, *, sockets: int, seed: int, now: float,
                  known: Iterable[News] = (),
-                 decide: Callable[[api.Settings, float, int], Any] = Choice) -> None:
+                 decide: Decide = Choice) -> None:
         # Probes, messages between routers and asking for the list have no form on sockets.
         self.settings = replace(settings, may_probe=False, may_message=False, asks_for_list=False)
         self.limits, self.now = limits, now
         self._choice = decide(self.settings, now, seed)
         self._most_links = max(1, sockets // LINK_SHARE)
         self._requests: dict[str, Request] = {}
+        self._bodies = 0
         self._clients: dict[int, dict[int, Request]] = {}
         self._links: dict[int, Link] = {}
         self._engine_links: dict[str, list[Link]] = {}
@@ -377,12 +389,13 @@
         elif call.txn in self._requests:
             # Guards against a second request under an id that an engine still has: their answers would mix.
             self._effects.append(Answer(conn, Failed(call.msg, "txn")))
-        elif (self._refusing or len(opened) >= OPEN_PER_CLIENT
-              or len(self._requests) >= self.limits.max_open):
+        elif (self._refusing or len(opened) >= OPEN_PER_CLIENT or len(self._requests) >= self.limits.max_open
+              or self._bodies + len(call.body) > MOST_BODIES):
             self._effects.append(Answer(conn, Refused(call.msg, self.settings.max_retry_after)))
         else:
             request = Request(call, conn, self.now + call.limit - TRANSIT)
             self._requests[call.txn] = opened[call.msg] = request
+            self._bodies += len(call.body)
             self._pending.append(api.Query(
                 call.txn, call.cls, request.due, tenant=call.tenant, key=call.key, data_set=call.data_set,
                 work=call.work, memory_mb=call.memory_mb, resent=call.resent))
@@ -411,8 +424,9 @@
                 del self._clients[request.conn]
 
     def _forget(self, request: Request) -> None:
-        if not request.owed and request.out is None:
-            self._requests.pop(request.call.txn, None)
+        if not request.owed and request.out is None and request.call.txn in self._requests:
+            del self._requests[request.call.txn]
+            self._bodies -= len(request.call.body)
 
     # --- what the module decides
 
@@ -483,7 +497,7 @@
             return
         txn = request.call.txn
         self._command(link, Stop(txn) if attempt.pages is None else End(txn))
-        if link.heard <= attempt.sent:
+        if link.heard <= attempt.sent < self.now - self.limits.connect_timeout:
             # Nothing was heard since: the machine behind may be gone, and only a new connection can tell.
             link.retired = True
         self._detach(attempt)
@@ -496,6 +510,8 @@
         """An attempt is over: the module hears of it once, however it ended."""
         if attempt.request.out is not attempt:
             return
+        if attempt.link is not None and attempt.pages is not None and not settled:
+            attempt.request.spent.add(attempt.link.id)  # further pages of this attempt may still come
         self._detach(attempt)
         attempt.request.out = None
         self._report(attempt, outcome, settled)
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -17,6 +17,7 @@
 
 import uvloop
 
+from grebeproxy.choice import Choice
 from grebeproxy.config import Config
 from grebeproxy.net import changelog, msgpack_rpc, resp, router
 from grebeproxy.net.messages import BadFrameError, EngineAnswer, FromClient, News
@@ -62,7 +63,7 @@
         except BadFrameError as error:
             self.runtime.log(str(error))
             self.runtime.feed(*events)
-            self.end(str(error))
+            self.end("bytes that cannot be read")
             return
         self.runtime.feed(*events)
 
@@ -192,7 +193,7 @@
 class Runtime:
     """Runs one router on an event loop."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, decide: router.Decide = Choice) -> None:
         self.config = config
         self.clients: dict[int, Client] = {}
         self.links: dict[int, Link] = {}
@@ -205,20 +206,22 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._done = asyncio.Event()
         self._router = router.Router(
-            config.settings, config.limits, sockets=config.sockets, seed=config.seed, now=time.monotonic(),
-            known=changelog.known_events(config.known, self.clock))
+            config.settings, config.limits, sockets=config.sockets, seed=config.seed, now=self.now(),
+            known=changelog.known_events(config.known, self.clock), decide=decide)
 
     def next_number(self) -> int:
         """A number for a client's connection."""
         return next(self._numbers)
 
-    @staticmethod
-    def clock(unix_ms: int) -> float:
-        """A Unix millisecond on the monotonic clock."""
+    def now(self) -> float:
+        """The clock that all but ``clock`` goes by."""
+        return time.monotonic()
+
+    def clock(self, unix_ms: int) -> float:
+        """A Unix millisecond on the clock of ``now``."""
         return unix_ms / 1000 - time.time() + time.monotonic()
 
-    @staticmethod
-    def log(text: str) -> None:
+    def log(self, text: str) -> None:
         """One line for whoever runs the router."""
         print(text, file=sys.stderr, flush=True)
 
@@ -230,8 +233,8 @@
         """Serve until asked to stop and all is answered."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.feed, router.StopAsked())
-        self._carry_out(self._router.start(time.monotonic()))
+            loop.add_signal_handler(number, self.terminate)
+        self._carry_out(self._router.start(self.now()))
         host, port = self.config.listen
         self._server = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
         # Guards against collections that stall the loop: keys are ordered by when requests are read.
@@ -257,7 +260,7 @@
             while self._events:
                 batch = list(self._events)
                 self._events.clear()
-                self._carry_out(self._router.step(time.monotonic(), batch))
+                self._carry_out(self._router.step(self.now(), batch))
         finally:
             self._stepping = False
 
@@ -289,17 +292,32 @@
                 case router.Note(text):
                     self.log(text)
                 case router.StopListening():
-                    if self._server is not None:
-                        self._server.close()
+                    self.stop_listening()
                 case router.Exit():
-                    self._done.set()
+                    self.exit()
+
+    def terminate(self) -> None:
+        """Finish what was taken, then end."""
+        self.feed(router.StopAsked())
+
+    def stop_listening(self) -> None:
+        """Take no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def exit(self) -> None:
+        """End the program."""
+        self._done.set()
+
+    def _woken(self) -> None:
+        self.feed(router.Woken())
 
     def _wake_at(self, at: float) -> None:
         if self._wake is not None:
             self._wake.cancel()
         # The loop's timers count in milliseconds: rounded up, or it would come back early and spin.
-        delay = max(0.0, math.ceil((at - time.monotonic()) * 1000) / 1000)
-        self._wake = asyncio.get_running_loop().call_later(delay, self.feed, router.Woken())
+        delay = max(0.0, math.ceil((at - self.now()) * 1000) / 1000)
+        self._wake = asyncio.get_running_loop().call_later(delay, self._woken)
 
     def _connect(self, connection: Connection, address: tuple[str, int]) -> None:
         task = asyncio.get_running_loop().create_task(self._make(connection, address))
--- /dev/null
+++ b/tests/exchange.py
@@ -0,0 +1,191 @@
+"""Plays recorded byte exchanges against the whole program but its sockets, on a clock of their own.
+
+A line of a recording is ``MS WHO WHAT``. ``c1 > BYTES`` is what client 1 sends and ``c1 < BYTES`` what it
+gets; L1, L2 … are connections to engines in the order they were dialled, ``log`` is the change log's.
+Bytes stand as text, what does not print as in Python. Run this file to record the answers anew, then read
+the difference: what it writes is what the program does, not what it should do.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any, cast
+
+import orjson
+
+from grebeproxy import Choice
+from grebeproxy import interface as api
+from grebeproxy.config import parse
+from grebeproxy.net.router import Decide
+from grebeproxy.net.runtime import Client, Connection, Log, Runtime
+
+FOLDER = Path(__file__).parent / "exchanges"
+CONFIG = Path(__file__).parent.parent / "examples" / "config.json"
+START = 1000.0
+INPUTS = {">", "up", "lost", "full", "drained", "term", "wait"}
+
+
+def to_bytes(text: str) -> bytes:
+    return text.encode("latin-1").decode("unicode_escape").encode("latin-1")
+
+
+def to_text(data: bytes) -> str:
+    return repr(b'"' + data)[3:-1].replace("\\'", "'")  # the quote inside makes repr choose the same always
+
+
+def with_changes(changes: dict[str, Any]) -> dict[str, Any]:
+    """The example's configuration with other values at some paths."""
+    told: dict[str, Any] = orjson.loads(CONFIG.read_bytes())
+    for path, value in changes.items():
+        *inner, last = path.split(".")
+        part = told
+        for key in inner:
+            part = part[key]
+        part[last] = value
+    return told
+
+
+class Stubborn:
+    """In the module's place: sends all to one engine, calls it off after 100 ms and sends it there again."""
+
+    def __init__(self, settings: api.Settings, now: float, seed: int) -> None:
+        pass
+
+    def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
+        actions: list[api.Action] = []
+        for event in events:
+            match event:
+                case api.Query():
+                    actions += [api.Send(event.id, "s-00000001", event.due), api.SetTimer(event.id, 0.1)]
+                case api.TimerFired():
+                    actions.append(api.Cancel(event.name, 0))
+                case api.AttemptEnded(settled=False):
+                    actions.append(api.Send(event.id, event.engine, now + 1.0))
+        return actions
+
+
+class FakeTransport:
+    """Passes what is written to the player."""
+
+    def __init__(self, player: Player, name: str, protocol: Connection) -> None:
+        self.player, self.name, self.protocol = player, name, protocol
+        self.full = self.closed = False
+        self.unsent = 0
+
+    def write(self, data: bytes) -> None:
+        assert not self.closed
+        self.player.out(self.name, f"< {to_text(data)}")
+        if self.full:
+            self.unsent += len(data)
+            self.protocol.pause_writing()
+
+    def abort(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.player.out(self.name, "hangup")
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        assert high == 0
+
+    def pause_reading(self) -> None:
+        self.player.out(self.name, "reading stops")
+
+    def resume_reading(self) -> None:
+        self.player.out(self.name, "reading goes on")
+
+
+class Player(Runtime):
+    """The runtime with its sockets, its clock and its log replaced."""
+
+    def __init__(self, decide: Decide, changes: dict[str, Any]) -> None:
+        self.at, self.woken_at = START, float("inf")
+        self.transcript: list[str] = []
+        self.peers: dict[str, FakeTransport] = {}
+        self.dialled = 0
+        super().__init__(parse(with_changes(changes)), decide)
+        self._carry_out(self._router.start(self.at))
+
+    def now(self) -> float:
+        return self.at
+
+    def clock(self, unix_ms: int) -> float:
+        return unix_ms / 1000
+
+    def log(self, text: str) -> None:
+        self.out("note", text)
+
+    def stop_listening(self) -> None:
+        self.out("listener", "closed")
+
+    def exit(self) -> None:
+        self.out("program", "exits")
+
+    def _wake_at(self, at: float) -> None:
+        self.woken_at = at
+
+    def _connect(self, connection: Connection, address: tuple[str, int]) -> None:
+        name = "log" if isinstance(connection, Log) else f"L{self.dialled + 1}"
+        self.dialled += name != "log"
+        self.peers[name] = FakeTransport(self, name, connection)
+        self.out(name, f"dial {address[0]}:{address[1]}")
+
+    def out(self, who: str, what: str) -> None:
+        self.transcript.append(f"{(self.at - START) * 1000:.0f} {who} {what}")
+
+    def run_until(self, at: float) -> None:
+        """Let the time pass, and all that was to happen meanwhile."""
+        while self.woken_at <= at:
+            self.at, self.woken_at = max(self.at, self.woken_at), float("inf")
+            self._woken()
+        self.at = at
+
+    def happen(self, who: str, what: str, data: str, cut: int) -> None:
+        """One input line."""
+        if who not in self.peers and who.startswith("c"):
+            self.peers[who] = FakeTransport(self, who, Client(self))
+            self.connect(who)
+        peer = self.peers[who]
+        match what:
+            case "up":
+                self.connect(who)
+            case ">":
+                whole = to_bytes(data)
+                for start in range(0, len(whole), cut or len(whole)):
+                    peer.protocol.data_received(whole[start:start + (cut or len(whole))])
+            case "lost":
+                peer.closed = True
+                peer.protocol.connection_lost(None)
+            case "full":
+                peer.full = True
+            case "drained":
+                peer.full, peer.unsent = False, 0
+                peer.protocol.resume_writing()
+            case "term":
+                self.terminate()
+
+    def connect(self, who: str) -> None:
+        self.peers[who].protocol.connection_made(cast(Any, self.peers[who]))
+
+
+def play(recording: str, cut: int = 0) -> str:
+    """What comes of a recording's inputs, read in parts of ``cut`` bytes: the recording, if all is well."""
+    head = [line for line in recording.splitlines() if line.startswith(("#", "set "))]
+    changes = {line.split()[1]: orjson.loads(line.split(maxsplit=2)[2]) for line in head if line[0] != "#"}
+    player = Player(Stubborn if changes.pop("module", None) == "stubborn" else Choice, changes)
+    for line in recording.splitlines():
+        at, who, what, *rest = [*line.split(" ", 3), "", "", ""][:4]
+        if line in head or what not in INPUTS:
+            continue
+        player.run_until(START + int(at) / 1000)
+        player.transcript.append(line)
+        player.happen(who, what, rest[0], cut)
+    return "\n".join([*head, *player.transcript, ""])
+
+
+if __name__ == "__main__":
+    for path in [Path(name) for name in sys.argv[1:]] or sorted(FOLDER.glob("*.txt")):
+        path.write_text(play(path.read_text()))
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,53 @@
+"""Configuration: what is missing or wrong is named by its key; and how statements are read."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from exchange import CONFIG, with_changes
+
+from grebeproxy.config import ConfigError, load, parse
+from grebeproxy.net.statement import table_group
+
+
+def test_the_example_configuration_is_read_and_variables_go_before_it() -> None:
+    config = load({"BALANCER_CONFIG": str(CONFIG), "BALANCER_NAME": "n7", "BALANCER_LISTEN": "127.0.0.9:81"})
+    assert (config.name, config.listen, config.changelog) == ("n7", ("127.0.0.9", 81), ("127.0.0.1", 2379))
+    assert (config.sockets, config.seed, config.limits.connect_timeout) == (1024, 0x8C1F30D27A5BE964, 0.25)
+
+
+@pytest.mark.parametrize(("path", "value", "key"), [
+    ("listen", "here", "listen:"), ("changelog", None, "changelog:"), ("seed", "xyz", "seed:"),
+    ("limits.sockets", "many", "limits.sockets:"), ("settings", 3, "settings:"),
+    ("limits", [], "limits.sockets:"), ("known.results", [{"seq": 1}], "known: fleet:"),
+    ("known", None, "known:"), ("settings.limits", {}, "settings.mostTries:"),
+    ("settings.categories", [], "settings.familyInfo.dop:"), ("settings.kinds", None, "settings."),
+    ("settings.me", 4, "settings.index:"), ("settings.limits.multiplex", "x", "settings."),
+])
+def test_a_faulty_key_is_named_in_one_line(path: str, value: Any, key: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        parse(with_changes({path: value}))
+    assert str(caught.value).startswith(key) and "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize("content", [b"{", b"[]", orjson.dumps({})])
+def test_a_file_that_holds_no_configuration_is_refused(tmp_path: Path, content: bytes) -> None:
+    (tmp_path / "config.json").write_bytes(content)
+    for path in ("", str(tmp_path), str(tmp_path / "config.json")):
+        with pytest.raises(ConfigError, match="^(BALANCER_CONFIG|settings): "):
+            load({"BALANCER_CONFIG": path})
+
+
+@pytest.mark.parametrize(("statement", "group"), [
+    ("SELECT n FROM sales_17.orders", 17), ("select 'from a_1.b', 'it''s' from \"ops_5\" . \"t\" x", 5),
+    ("-- from a_1.b\nUPDATE main.mart_9.t SET n = 1", 9), ("/* a_1.b /* c_2.d */ */ delete from e_3.f", 3),
+    ("merge into lake_10.orders d using staging.delta s on d.id = s.id", 10),
+    ("insert into staging_4.x select * from ops_2.t", 2), ("select t_3.n from sales_4.x t_3", 4),
+    ("select $q$ from a_1.b $q$, n from `lake_6`.t", 6), ("select a_1.n", 1), ("select 1.5 from x_2", None),
+    ("select '", None), ("/* from a_1.b", None), ("", None), ("\x00\xff.\"", None),
+])
+def test_the_group_of_tables_is_the_number_of_the_schema(statement: str, group: int | None) -> None:
+    assert table_group(statement.encode("latin-1")) == group
