--- /dev/null
+++ b/examples/ask.py
@@ -0,0 +1,36 @@
+"""Asks a router one query and prints what it answers.
+
+    python examples/ask.py examples/config.json lookup "SELECT n FROM ops_3.t"
+"""
+
+from __future__ import annotations
+
+import secrets
+import socket
+import sys
+from pathlib import Path
+
+import msgpack
+import orjson
+
+
+def main(path: str, cls: str, statement: str) -> None:
+    """Ask over one connection, as the first tenant of the configuration."""
+    told = orjson.loads(Path(path).read_bytes())
+    host, port = told["listen"].split(":")
+    fields = {"txn": secrets.token_hex(8), "limit": "2000", "team": told["settings"]["orgs"][0]["name"],
+              "cpu": "80.0", "mb": "64"}
+    if cls == "load":
+        fields |= {"unique": secrets.token_hex(16), "item": secrets.token_hex(8)}
+    with socket.create_connection((host, int(port)), timeout=10) as connection:
+        connection.sendall(msgpack.packb([0, 1, cls, [fields, statement.encode()]]))
+        unpacker = msgpack.Unpacker()
+        while True:
+            unpacker.feed(connection.recv(65536))
+            for _, _, error, result in unpacker:
+                print(result[0].decode() if error is None else f"{error[0]}: {error[1]}", end="\n")
+                return
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:4])
--- a/grebeproxy/__init__.py
+++ b/grebeproxy/__init__.py
@@ -1,7 +1,7 @@
-"""grebeproxy: decisions of a gateway that keeps short and long queries apart on shared engines."""
+"""grebeproxy: a query router that keeps short and long queries apart on shared engines."""
 
 from grebeproxy.choice import Choice
 from grebeproxy.interface import Settings
 
 __all__ = ["Choice", "Settings"]
-__version__ = "0.1.0"
+__version__ = "0.2.0"
