Answer in time whatever the module does; send nothing late to engines that drain

Seen on reading the reducer over, each with a recording: a request waiting unwritten for a paused connection would have been written after its engine's drain was told (router.py, _retire); a fault in the module would have left its requests without an answer (_decide, _overdue). Also: timers name attempts instead of holding them, so that statements and pages are freed at once; a connect that was given up is cancelled instead of holding a descriptor until the kernel gives up; one silence timer for the change log.

--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
@@ -21,6 +22,7 @@
 
 TRANSIT = 0.010  # seconds of a client's limit kept for the request's and the answer's way
 SETTLE = 0.010  # a stop is on its way so long before its attempt counts as ended
+OVERDUE = 0.030  # after the due time, within the rules' slack: the module has had its chance by then
 OPEN_PER_CLIENT = 32
 MOST_PAGES, MOST_RESULT = 64, 64 * 1024  # above the 8 pages and 48,000 bytes of a result
 MOST_BODIES = 32 * 1024 * 1024  # bytes of all statements that are open, of the 192 MB
@@ -285,7 +287,7 @@
         self._effects: list[Effect] = []
         self._wake_at: float | None = None
         self._seq, self._log_heard, self._log_backoff = 0, now, LOG_BACKOFF
-        self._log_open = False
+        self._log_open, self._log_dials = False, 0
         self._stopping = self._refusing = self._done = False
         for news in known:
             self._seq = news.seq
@@ -311,7 +313,7 @@
         if self._pending and self.now >= self._next_round:
             self._next_round = self.now + self.settings.tick
             events, self._pending = self._pending, []
-            for action in self._choice.handle(self.now, events):
+            for action in self._decide(events):
                 self._act(action)
         if self._refusing and not self._done and not any(r.owed for r in self._requests.values()):
             self._done = True
@@ -322,6 +324,14 @@
         self._ask_to_wake()
         return self._effects
 
+    def _decide(self, events: list[api.Event]) -> list[api.Action]:
+        """Ask the module. Guards against a fault in it: the router goes on, and ``_overdue`` answers."""
+        try:
+            return self._choice.handle(self.now, events)
+        except Exception:  # whatever it is, the requests that are open are still owed an answer
+            self._effects.append(Note(traceback.format_exc()))
+            return []
+
     def _ask_to_wake(self) -> None:
         at = self._timers[0][0] if self._timers else None
         if self._pending:
@@ -396,6 +406,7 @@
             request = Request(call, conn, self.now + call.limit - TRANSIT)
             self._requests[call.txn] = opened[call.msg] = request
             self._bodies += len(call.body)
+            self._at(request.due + OVERDUE, self._overdue, (call.txn, request.due))
             self._pending.append(api.Query(
                 call.txn, call.cls, request.due, tenant=call.tenant, key=call.key, data_set=call.data_set,
                 work=call.work, memory_mb=call.memory_mb, resent=call.resent))
@@ -408,6 +419,15 @@
             self._give_up(request.out, api.Outcome.CANCELLED)
         self._forget(request)
 
+    def _overdue(self, known_by: tuple[str, float]) -> None:
+        """Guards the rule of one answer in time against a module that has given none."""
+        txn, due = known_by
+        request = self._requests.get(txn)
+        if request is not None and request.due == due and request.owed:
+            self._effects.append(Note(f"request {txn}: no answer was decided in time"))
+            self._effects.append(Answer(request.conn, Failed(request.call.msg)))
+            self._abandon(request)
+
     def _answer(self, request: Request, message: ToClient) -> None:
         """The one final answer."""
         if request.owed:
@@ -474,12 +494,15 @@
             return
         attempt.link = link
         link.attempts[action.id] = attempt
-        self._at(attempt.until, self._expire, attempt)
+        # By name: a timer that held the attempt would keep its statement and pages in memory.
+        self._at(attempt.until, self._expire, (action.id, attempt.number))
         self._flush(link)
 
-    def _expire(self, attempt: Attempt) -> None:
-        if attempt.request.out is attempt:
-            self._give_up(attempt, api.Outcome.TIMEOUT)
+    def _expire(self, known_by: tuple[str, int]) -> None:
+        txn, number = known_by
+        request = self._requests.get(txn)
+        if request is not None and request.out is not None and request.out.number == number:
+            self._give_up(request.out, api.Outcome.TIMEOUT)
 
     def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
         """Stop an attempt; it counts as ended once the engine can have heard of it."""
@@ -636,16 +659,17 @@
     def _dial_log(self, _: None) -> None:
         self._log_open, self._log_heard = True, self.now
         self._effects.append(OpenLog(self._seq))
-        self._at(self.now + LOG_SILENCE, self._check_log, None)
+        self._log_dials += 1
+        self._at(self.now + LOG_SILENCE, self._check_log, self._log_dials)
 
-    def _check_log(self, _: None) -> None:
+    def _check_log(self, dial: int) -> None:
         """Silence ends a connection to the log as a reset does."""
-        if not self._log_open:
+        if not self._log_open or dial != self._log_dials:
             return
         if self.now - self._log_heard >= LOG_SILENCE - 1e-6:
             self._lose_log("silent")
         else:
-            self._at(self._log_heard + LOG_SILENCE, self._check_log, None)
+            self._at(self._log_heard + LOG_SILENCE, self._check_log, dial)
 
     def _lose_log(self, reason: str) -> None:
         if self._log_open:
@@ -696,6 +720,9 @@
     def _retire(self, engine: str, drop: bool = False) -> None:
         for link in list(self._engine_links.get(engine, ())):
             link.retired = True
+            # Guards against a send after the drain was told: what is not written yet never will be.
+            for attempt in [attempt for attempt in link.attempts.values() if not attempt.written]:
+                self._end(attempt, api.Outcome.MOOT)
             if drop or not link.attempts:
                 self._drop(link)
 
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -43,6 +43,7 @@
     def __init__(self, runtime: Runtime, decoder: Splitter[object]) -> None:
         self.runtime, self.decoder = runtime, decoder
         self.transport: asyncio.Transport | None = None
+        self.connecting: asyncio.Task[None] | None = None
         self.ended = False  # the router knows of the end, or asked for it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -80,6 +81,9 @@
     def close(self) -> None:
         """Close without a report."""
         self.ended = True
+        if self.connecting is not None:
+            # Guards the descriptors: a connection to a silent machine would be tried for minutes.
+            self.connecting.cancel()
         if self.transport is not None:
             self.transport.abort()
 
@@ -203,7 +207,6 @@
         self._events: deque[router.Event] = deque()
         self._stepping = False
         self._numbers = iter(range(1, sys.maxsize))
-        self._tasks: set[asyncio.Task[None]] = set()
         self._done = asyncio.Event()
         self._router = router.Router(
             config.settings, config.limits, sockets=config.sockets, seed=config.seed, now=self.now(),
@@ -320,9 +323,7 @@
         self._wake = asyncio.get_running_loop().call_later(delay, self._woken)
 
     def _connect(self, connection: Connection, address: tuple[str, int]) -> None:
-        task = asyncio.get_running_loop().create_task(self._make(connection, address))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        connection.connecting = asyncio.get_running_loop().create_task(self._make(connection, address))
 
     async def _make(self, connection: Connection, address: tuple[str, int]) -> None:
         """Connect. One that the router has given up meanwhile is closed as soon as it is up."""
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -56,8 +56,12 @@
         actions: list[api.Action] = []
         for event in events:
             match event:
+                case api.Query(key="fault"):
+                    actions.append(api.SetTimer("fault", 0.1))
                 case api.Query():
                     actions += [api.Send(event.id, "s-00000001", event.due), api.SetTimer(event.id, 0.1)]
+                case api.TimerFired("fault"):
+                    raise ValueError("a fault in the module")
                 case api.TimerFired():
                     actions.append(api.Cancel(event.name, 0))
                 case api.AttemptEnded(settled=False):
@@ -116,7 +120,7 @@
         return unix_ms / 1000
 
     def log(self, text: str) -> None:
-        self.out("note", text)
+        self.out("note", text.strip().splitlines()[-1])
 
     def stop_listening(self) -> None:
         self.out("listener", "closed")
