--- /dev/null
+++ b/grebeproxy/net/events.py
@@ -0,0 +1,167 @@
+"""What the router's reducer is told, and the effects that it asks for. They name no wire."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Union
+
+from grebeproxy.net.messages import EngineAnswer, FromClient, News, ToClient, ToEngine
+
+Address = tuple[str, int]
+
+
+# --- events
+
+
+@dataclass(frozen=True, slots=True)
+class ClientSaid:
+    """A client's message, read whole."""
+
+    conn: int
+    message: FromClient
+
+
+@dataclass(frozen=True, slots=True)
+class ClientClosed:
+    """A client's connection has ended."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkOpened:
+    """A connection to an engine is up."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkClosed:
+    """A connection to an engine has ended or could not be made."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkPaused:
+    """What was written last is not sent whole yet: nothing more may be written."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkResumed:
+    """All that was written is sent."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkSaid:
+    """An engine's answer, read whole."""
+
+    link: int
+    answer: EngineAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class LogSaid:
+    """An event of the change log."""
+
+    news: News
+
+
+@dataclass(frozen=True, slots=True)
+class LogClosed:
+    """The connection to the change log has ended or could not be made."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    """The time asked for with ``Wake`` has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopAsked:
+    """The router is to finish what it has and end."""
+
+
+Event = Union[ClientSaid, ClientClosed, LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid, LogSaid,
+              LogClosed, Woken, StopAsked]
+
+
+# --- effects
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Write to a client."""
+
+    conn: int
+    message: ToClient
+
+
+@dataclass(frozen=True, slots=True)
+class CloseClient:
+    """End a client's connection."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenLink:
+    """Connect to an engine."""
+
+    link: int
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Write to an engine."""
+
+    link: int
+    commands: tuple[ToEngine, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CloseLink:
+    """End a connection to an engine, or give up making it. No ``LinkClosed`` follows."""
+
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenLog:
+    """Connect to the change log, ending an earlier connection, and ask for what came after an event."""
+
+    seq: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Send ``Woken`` at that time; replaces an earlier ``Wake``."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Write a line to the log."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopListening:
+    """Take no more connections."""
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """All is answered: end the program once what was written is sent."""
+
+
+Effect = Union[Answer, CloseClient, OpenLink, Write, CloseLink, OpenLog, Wake, Note, StopListening, Exit]
--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -11,12 +11,16 @@
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
-from typing import Any, Protocol, Union
+from typing import Any, Protocol
 
 from grebeproxy import interface as api
 from grebeproxy.choice import Choice
+from grebeproxy.net.events import (
+    Address, Answer, ClientClosed, ClientSaid, CloseClient, CloseLink, Effect, Event, Exit, LinkClosed,
+    LinkOpened, LinkPaused, LinkResumed, LinkSaid, LogClosed, LogSaid, Note, OpenLink, OpenLog,
+    StopAsked, StopListening, Wake, Woken, Write)
 from grebeproxy.net.messages import (
-    Call, End, EngineAnswer, Failed, Fetch, FromClient, GiveUp, Invalid, News, Ping, Pong, Refused, Run,
+    Call, End, EngineAnswer, Failed, Fetch, GiveUp, Invalid, News, Ping, Pong, Refused, Run,
     Served, Stop, ToClient, ToEngine, Word)
 from grebeproxy.settings import WireLimits
 
@@ -32,9 +36,6 @@
 LOG_BACKOFF, LOG_BACKOFF_MOST = 0.1, 1.0
 ACCEPT_AFTER_STOP, SERVE_AFTER_STOP = 0.4, 0.7  # seconds that connections and requests still come
 
-Address = tuple[str, int]
-
-
 class Module(Protocol):
     """A decision module."""
 
@@ -45,163 +46,6 @@
 Decide = Callable[[api.Settings, float, int], Module]  # makes a module for settings, at a time, with a seed
 
 
-# --- events
-
-
-@dataclass(frozen=True, slots=True)
-class ClientSaid:
-    """A client's message, read whole."""
-
-    conn: int
-    message: FromClient
-
-
-@dataclass(frozen=True, slots=True)
-class ClientClosed:
-    """A client's connection has ended."""
-
-    conn: int
-
-
-@dataclass(frozen=True, slots=True)
-class LinkOpened:
-    """A connection to an engine is up."""
-
-    link: int
-
-
-@dataclass(frozen=True, slots=True)
-class LinkClosed:
-    """A connection to an engine has ended or could not be made."""
-
-    link: int
-
-
-@dataclass(frozen=True, slots=True)
-class LinkPaused:
-    """What was written last is not sent whole yet: nothing more may be written."""
-
-    link: int
-
-
-@dataclass(frozen=True, slots=True)
-class LinkResumed:
-    """All that was written is sent."""
-
-    link: int
-
-
-@dataclass(frozen=True, slots=True)
-class LinkSaid:
-    """An engine's answer, read whole."""
-
-    link: int
-    answer: EngineAnswer
-
-
-@dataclass(frozen=True, slots=True)
-class LogSaid:
-    """An event of the change log."""
-
-    news: News
-
-
-@dataclass(frozen=True, slots=True)
-class LogClosed:
-    """The connection to the change log has ended or could not be made."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Woken:
-    """The time asked for with ``Wake`` has come."""
-
-
-@dataclass(frozen=True, slots=True)
-class StopAsked:
-    """The router is to finish what it has and end."""
-
-
-Event = Union[ClientSaid, ClientClosed, LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid, LogSaid,
-              LogClosed, Woken, StopAsked]
-
-
-# --- effects
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """Write to a client."""
-
-    conn: int
-    message: ToClient
-
-
-@dataclass(frozen=True, slots=True)
-class CloseClient:
-    """End a client's connection."""
-
-    conn: int
-
-
-@dataclass(frozen=True, slots=True)
-class OpenLink:
-    """Connect to an engine."""
-
-    link: int
-    address: Address
-
-
-@dataclass(frozen=True, slots=True)
-class Write:
-    """Write to an engine."""
-
-    link: int
-    commands: tuple[ToEngine, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class CloseLink:
-    """End a connection to an engine, or give up making it. No ``LinkClosed`` follows."""
-
-    link: int
-
-
-@dataclass(frozen=True, slots=True)
-class OpenLog:
-    """Connect to the change log, ending an earlier connection, and ask for what came after an event."""
-
-    seq: int
-
-
-@dataclass(frozen=True, slots=True)
-class Wake:
-    """Send ``Woken`` at that time; replaces an earlier ``Wake``."""
-
-    at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Note:
-    """Write a line to the log."""
-
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class StopListening:
-    """Take no more connections."""
-
-
-@dataclass(frozen=True, slots=True)
-class Exit:
-    """All is answered: end the program once what was written is sent."""
-
-
-Effect = Union[Answer, CloseClient, OpenLink, Write, CloseLink, OpenLog, Wake, Note, StopListening, Exit]
-
-
 # --- state
 
 
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -19,7 +19,7 @@
 
 from grebeproxy.choice import Choice
 from grebeproxy.config import Config
-from grebeproxy.net import changelog, msgpack_rpc, resp, router
+from grebeproxy.net import changelog, events, msgpack_rpc, resp, router
 from grebeproxy.net.messages import BadFrameError, EngineAnswer, FromClient, News
 
 MOST_UNSENT = 2 * 1024 * 1024  # per client: over 32 answers of 48,000 bytes, all a client may have open
@@ -58,15 +58,15 @@
         """Report each message; bytes that cannot be read end the connection."""
         if self.ended:
             return
-        events: list[router.Event] = []
+        told: list[events.Event] = []
         try:
-            events.extend(map(self.said, self.decoder.feed(data)))
+            told.extend(map(self.said, self.decoder.feed(data)))
         except BadFrameError as error:
             self.runtime.log(str(error))
-            self.runtime.feed(*events)
+            self.runtime.feed(*told)
             self.end("bytes that cannot be read")
             return
-        self.runtime.feed(*events)
+        self.runtime.feed(*told)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end."""
@@ -90,11 +90,11 @@
     def opened(self) -> None:
         """The connection is up."""
 
-    def said(self, message: object) -> router.Event:
+    def said(self, message: object) -> events.Event:
         """The event of a message."""
         raise NotImplementedError
 
-    def closed(self, reason: str) -> router.Event:
+    def closed(self, reason: str) -> events.Event:
         """The event of the end."""
         raise NotImplementedError
 
@@ -110,14 +110,14 @@
         """Count it in."""
         self.runtime.clients[self.number] = self
 
-    def said(self, message: object) -> router.Event:
+    def said(self, message: object) -> events.Event:
         """A client's message."""
-        return router.ClientSaid(self.number, cast(FromClient, message))
+        return events.ClientSaid(self.number, cast(FromClient, message))
 
-    def closed(self, reason: str) -> router.Event:
+    def closed(self, reason: str) -> events.Event:
         """Count it out."""
         self.runtime.clients.pop(self.number, None)
-        return router.ClientClosed(self.number)
+        return events.ClientClosed(self.number)
 
     def write(self, data: bytes) -> None:
         """Send an answer; a client that reads none of its answers loses its connection."""
@@ -151,25 +151,25 @@
         """Report it; with no high-water mark, a pause means that the last write was not sent whole."""
         assert self.transport is not None
         self.transport.set_write_buffer_limits(high=0)
-        self.runtime.feed(router.LinkOpened(self.number))
+        self.runtime.feed(events.LinkOpened(self.number))
 
-    def said(self, message: object) -> router.Event:
+    def said(self, message: object) -> events.Event:
         """An engine's answer."""
-        return router.LinkSaid(self.number, cast(EngineAnswer, message))
+        return events.LinkSaid(self.number, cast(EngineAnswer, message))
 
-    def closed(self, reason: str) -> router.Event:
+    def closed(self, reason: str) -> events.Event:
         """The connection is gone."""
         self.runtime.links.pop(self.number, None)
-        return router.LinkClosed(self.number)
+        return events.LinkClosed(self.number)
 
     def pause_writing(self) -> None:
         """The last write is not sent whole."""
-        self.runtime.feed(router.LinkPaused(self.number))
+        self.runtime.feed(events.LinkPaused(self.number))
 
     def resume_writing(self) -> None:
         """All is sent."""
         if not self.ended:
-            self.runtime.feed(router.LinkResumed(self.number))
+            self.runtime.feed(events.LinkResumed(self.number))
 
 
 class Log(Connection):
@@ -185,13 +185,13 @@
         assert self.transport is not None
         self.transport.write(changelog.hello(self._seq))
 
-    def said(self, message: object) -> router.Event:
+    def said(self, message: object) -> events.Event:
         """An event of the log."""
-        return router.LogSaid(cast(News, message))
+        return events.LogSaid(cast(News, message))
 
-    def closed(self, reason: str) -> router.Event:
+    def closed(self, reason: str) -> events.Event:
         """The connection is gone."""
-        return router.LogClosed(reason)
+        return events.LogClosed(reason)
 
 
 class Runtime:
@@ -204,7 +204,7 @@
         self._log_link: Log | None = None
         self._server: asyncio.Server | None = None
         self._wake: asyncio.TimerHandle | None = None
-        self._events: deque[router.Event] = deque()
+        self._events: deque[events.Event] = deque()
         self._stepping = False
         self._numbers = iter(range(1, sys.maxsize))
         self._done = asyncio.Event()
@@ -253,9 +253,9 @@
         while self.unsent() and time.monotonic() < until:
             await asyncio.sleep(0.01)
 
-    def feed(self, *events: router.Event) -> None:
+    def feed(self, *told: events.Event) -> None:
         """Let the router take events; those that its effects bring about are taken next."""
-        self._events.extend(events)
+        self._events.extend(told)
         if self._stepping:
             return
         self._stepping = True
@@ -267,41 +267,41 @@
         finally:
             self._stepping = False
 
-    def _carry_out(self, effects: list[router.Effect]) -> None:
+    def _carry_out(self, effects: list[events.Effect]) -> None:
         for effect in effects:
             match effect:
-                case router.Answer(number, message):
+                case events.Answer(number, message):
                     if (client := self.clients.get(number)) is not None:
                         client.write(msgpack_rpc.encode(message))
-                case router.Write(number, commands):
+                case events.Write(number, commands):
                     if (link := self.links.get(number)) is not None and link.transport is not None:
                         link.transport.write(b"".join(map(resp.encode, commands)))
-                case router.Wake(at):
+                case events.Wake(at):
                     self._wake_at(at)
-                case router.OpenLink(number, address):
+                case events.OpenLink(number, address):
                     self.links[number] = made = Link(self, number)
                     self._connect(made, address)
-                case router.CloseLink(number):
+                case events.CloseLink(number):
                     if (gone := self.links.pop(number, None)) is not None:
                         gone.close()
-                case router.CloseClient(number):
+                case events.CloseClient(number):
                     if (leaving := self.clients.pop(number, None)) is not None:
                         leaving.close()
-                case router.OpenLog(seq):
+                case events.OpenLog(seq):
                     if self._log_link is not None:
                         self._log_link.close()
                     self._log_link = Log(self, seq)
                     self._connect(self._log_link, self.config.changelog)
-                case router.Note(text):
+                case events.Note(text):
                     self.log(text)
-                case router.StopListening():
+                case events.StopListening():
                     self.stop_listening()
-                case router.Exit():
+                case events.Exit():
                     self.exit()
 
     def terminate(self) -> None:
         """Finish what was taken, then end."""
-        self.feed(router.StopAsked())
+        self.feed(events.StopAsked())
 
     def stop_listening(self) -> None:
         """Take no more connections."""
@@ -313,7 +313,7 @@
         self._done.set()
 
     def _woken(self) -> None:
-        self.feed(router.Woken())
+        self.feed(events.Woken())
 
     def _wake_at(self, at: float) -> None:
         if self._wake is not None:
