Give stops 20 ms to arrive, take connections 0.1 s longer on SIGTERM, keep clients alive-checked

Nothing was seen to break: a stop and the next attempt travel on different connections, and 10 ms left little room on a slow network (router.py, SETTLE; TRANSIT grew with it so that answers stay in time). The front may send connections up to 0.4 s after SIGTERM, which was when the listener closed.

--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -24,8 +24,8 @@
     Served, Stop, ToClient, ToEngine, Word)
 from grebeproxy.settings import WireLimits
 
-TRANSIT = 0.010  # seconds of a client's limit kept for the request's and the answer's way
-SETTLE = 0.010  # a stop is on its way so long before its attempt counts as ended
+TRANSIT = 0.020  # seconds of a client's limit kept for the request's and the answer's way
+SETTLE = 0.020  # a stop is on its way so long before its attempt counts as ended
 OVERDUE = 0.030  # after the due time, within the rules' slack: the module has had its chance by then
 OPEN_PER_CLIENT = 32
 MOST_PAGES, MOST_RESULT = 64, 64 * 1024  # above the 8 pages and 48,000 bytes of a result
@@ -34,7 +34,7 @@
 LINK_SHARE = 3  # a third of the descriptors may be connections to engines; clients have another
 LOG_SILENCE = 2.5  # a frame is due each second
 LOG_BACKOFF, LOG_BACKOFF_MOST = 0.1, 1.0
-ACCEPT_AFTER_STOP, SERVE_AFTER_STOP = 0.4, 0.7  # seconds that connections and requests still come
+ACCEPT_AFTER_STOP, SERVE_AFTER_STOP = 0.5, 0.7  # seconds; new connections come for 0.4 of them
 
 class Module(Protocol):
     """A decision module."""
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -9,6 +9,7 @@
 import gc
 import math
 import signal
+import socket
 import sys
 import time
 from collections import deque
@@ -24,6 +25,8 @@
 
 MOST_UNSENT = 2 * 1024 * 1024  # per client: over 32 answers of 48,000 bytes, all a client may have open
 MOST_UNSENT_TOGETHER = 48 * 1024 * 1024  # of the 192 MB, for all clients that are slow to read
+KEEPALIVE = ((socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 30),
+             (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 10), (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3))
 GC_THRESHOLDS = (20_000, 20, 50)  # few collections, each of them short: what start-up made is left out
 EXIT_GRACE = 2.0  # seconds to send what is written when all is answered
 
@@ -109,6 +112,10 @@
     def opened(self) -> None:
         """Count it in."""
         self.runtime.clients[self.number] = self
+        assert self.transport is not None
+        # Guards the descriptors: a client's machine that vanishes says no goodbye.
+        for level, option, value in KEEPALIVE:
+            self.transport.get_extra_info("socket").setsockopt(level, option, value)
 
     def said(self, message: object) -> events.Event:
         """A client's message."""
@@ -326,7 +333,7 @@
         connection.connecting = asyncio.get_running_loop().create_task(self._make(connection, address))
 
     async def _make(self, connection: Connection, address: tuple[str, int]) -> None:
-        """Connect. One that the router has given up meanwhile is closed as soon as it is up."""
+        """Connect; ``Connection.close`` cancels it."""
         loop = asyncio.get_running_loop()
         try:
             await loop.create_connection(lambda: connection, *address)
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -95,6 +95,12 @@
     def set_write_buffer_limits(self, high: int) -> None:
         assert high == 0
 
+    def get_extra_info(self, name: str) -> FakeTransport:
+        return self
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        pass
+
     def pause_reading(self) -> None:
         self.player.out(self.name, "reading stops")
 
