Do not take a lack of own descriptors for an engine's fault

Now it is told as full (router.py, _send): nothing ran either way, and the module holds back instead.

--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -332,9 +332,14 @@
             self._report(attempt, api.Outcome.MOOT)
             return
         request.out = attempt
+        if action.engine not in self._places:  # another engine has its address now
+            self._end(attempt, api.Outcome.CONNECT_FAILED)
+            return
         link = self._link_for(attempt)
         if link is None:
-            self._end(attempt, api.Outcome.CONNECT_FAILED)
+            # No descriptor is left for it. Guards against taking that for a fault of the engine, which would
+            # end what runs there: full holds back what follows, and proves as well that nothing ran.
+            self._end(attempt, api.Outcome.FULL)
             return
         attempt.link = link
         link.attempts[action.id] = attempt
@@ -435,13 +440,12 @@
                  and len(link.attempts) < self.limits.multiplex]
         if links:
             return max(links, key=lambda link: (link.up and not link.paused, -link.id))
-        place = self._places.get(attempt.engine)
-        if place is None or len(self._links) >= self._most_links:
+        if len(self._links) >= self._most_links:
             return None
         link = Link(next(self._numbers), attempt.engine, self.now, self.now, self.now)
         self._links[link.id] = link
         self._engine_links.setdefault(attempt.engine, []).append(link)
-        self._effects.append(OpenLink(link.id, place.address))
+        self._effects.append(OpenLink(link.id, self._places[attempt.engine].address))
         self._at(self.now + self.limits.connect_timeout, self._check_open, link)
         return link
 
