Log through logging, leave signals to the program, and tell a taken address in one line

Seen on reading it as one who embeds it: serve() took over signals and the garbage collector and wrote to standard error. Both are run()'s now (runtime.py). An address that is taken ended in a trace.

--- a/grebeproxy/__main__.py
+++ b/grebeproxy/__main__.py
@@ -1,5 +1,6 @@
 """The router on sockets, as one program."""
 
+import logging
 import os
 import sys
 
@@ -8,13 +9,18 @@
 
 
 def main() -> int:
-    """Read the configuration and serve."""
+    """Read the configuration and serve; what stands in the way is told in one line."""
     try:
         config = load(os.environ)
     except ConfigError as error:
         print(f"grebeproxy: {error}", file=sys.stderr)
         return 2
-    run(config)
+    logging.basicConfig(level=logging.INFO, format="%(message)s")
+    try:
+        run(config)
+    except OSError as error:  # the address is taken, or not this machine's
+        print(f"grebeproxy: listen: {error}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import gc
+import logging
 import math
 import signal
 import socket
 import sys
 import time
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Protocol, TypeVar, cast
 
 import uvloop
@@ -23,6 +24,7 @@
 from grebeproxy.net import changelog, events, msgpack_rpc, resp, router
 from grebeproxy.net.messages import BadFrameError, EngineAnswer, FromClient, News
 
+LOG = logging.getLogger("grebeproxy")
 MOST_UNSENT = 2 * 1024 * 1024  # per client: over 32 answers of 48,000 bytes, all a client may have open
 MOST_UNSENT_TOGETHER = 48 * 1024 * 1024  # of the 192 MB, for all clients that are slow to read
 KEEPALIVE = ((socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 30),
@@ -233,7 +235,7 @@
 
     def log(self, text: str) -> None:
         """One line for whoever runs the router."""
-        print(text, file=sys.stderr, flush=True)
+        LOG.info(text)
 
     def unsent(self) -> int:
         """Bytes that clients have not read yet."""
@@ -242,16 +244,10 @@
     async def serve(self) -> None:
         """Serve until asked to stop and all is answered."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.terminate)
-        self._carry_out(self._router.start(self.now()))
         host, port = self.config.listen
         self._server = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
-        # Guards against collections that stall the loop: keys are ordered by when requests are read.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*GC_THRESHOLDS)
         self.log(f"{self.config.name}: serving on {host}:{port}")
+        self._carry_out(self._router.start(self.now()))
         await self._done.wait()
         for client in list(self.clients.values()):
             if client.transport is not None:
@@ -341,10 +337,17 @@
             connection.end(str(error))
 
 
-def run(config: Config, make_runtime: Callable[[Config], Runtime] = Runtime) -> None:
-    """Serve on uvloop until asked to stop."""
+def run(config: Config) -> None:
+    """Serve as a program of its own: on uvloop, until SIGTERM or SIGINT."""
 
     async def serve() -> None:
-        await make_runtime(config).serve()
+        runtime = Runtime(config)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, runtime.terminate)
+        # Guards against collections that stall the loop: keys are ordered by when requests are read.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        await runtime.serve()
 
     uvloop.run(serve())
