Tell an engine's start as the same moment each time it is told

Seen on reading: since_ms was put on the monotonic clock with both clocks read anew at each event, so a start told twice came out microseconds apart (runtime.py, clock). The module takes a later start for a new process: it forgets what is warm there and counts the engine as cold. The offset is now read once; the test fails on the code before. The order in which connections of unlisted engines end no longer hangs on hash seeds.

--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -543,7 +543,7 @@
         if change is None:
             return
         if change.how is api.ListKind.FULL:
-            for engine in self._places.keys() - addresses.keys():
+            for engine in sorted(self._places.keys() - addresses.keys()):
                 self._retire(engine)
         for entry in change.engines:
             address = addresses[entry.id]
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -217,6 +217,9 @@
         self._stepping = False
         self._numbers = iter(range(1, sys.maxsize))
         self._done = asyncio.Event()
+        # Read once. Guards against an engine's start that is told again looking a little later than before,
+        # and so like another start: the module would take the engine for cold anew.
+        self._unix_offset = time.time() - time.monotonic()
         self._router = router.Router(
             config.settings, config.limits, sockets=config.sockets, seed=config.seed, now=self.now(),
             known=changelog.known_events(config.known, self.clock), decide=decide)
@@ -231,7 +234,7 @@
 
     def clock(self, unix_ms: int) -> float:
         """A Unix millisecond on the clock of ``now``."""
-        return unix_ms / 1000 - time.time() + time.monotonic()
+        return unix_ms / 1000 - self._unix_offset
 
     def log(self, text: str) -> None:
         """One line for whoever runs the router."""
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -10,6 +10,7 @@
 from exchange import CONFIG, with_changes
 
 from grebeproxy.config import ConfigError, load, parse
+from grebeproxy.net.runtime import Runtime
 from grebeproxy.net.statement import table_group
 
 
@@ -19,6 +20,11 @@
     assert (config.sockets, config.seed, config.limits.connect_timeout) == (1024, 0x8C1F30D27A5BE964, 0.25)
 
 
+def test_a_start_told_again_is_the_same_moment() -> None:
+    runtime = Runtime(parse(with_changes({})))
+    assert len({runtime.clock(1_790_000_000_000) for _ in range(1000)}) == 1
+
+
 @pytest.mark.parametrize(("path", "value", "key"), [
     ("listen", "here", "listen:"), ("changelog", None, "changelog:"), ("seed", "xyz", "seed:"),
     ("limits.sockets", "many", "limits.sockets:"), ("settings", 3, "settings:"),
