Tidy the reducer and the runtime on re-reading; behaviour unchanged

Found on reading the whole change again: timers forced one dummy or packed argument on every callback (_at); the look-up of a connection stood in five events and the end of a client's in two places; the late answer of _overdue did not go through _answer; a Names class had one use, a generic decoder type none, and the runtime kept a deque and a counter of its own where a list and itertools serve. Messages read before bytes that cannot be read are now collected by a plain loop, not by what list.extend happens to keep.

Left as it is: the known events are read twice at start, once to check them and once on the runtime's clock.

--- a/grebeproxy/net/changelog.py
+++ b/grebeproxy/net/changelog.py
@@ -5,7 +5,6 @@
 import socket
 import struct
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from typing import Any
 
 from grebeproxy.interface import Engine, EngineList, EngineState, ListKind, Settings
@@ -27,25 +26,11 @@
     return struct.pack(">Q", seq)
 
 
-@dataclass(frozen=True, slots=True)
-class Names:
-    """What the frames' positions stand for."""
-
-    zones: tuple[str, ...]
-    kinds: tuple[str, ...]
-    clock: Clock
-
-    @classmethod
-    def of(cls, settings: Settings, clock: Clock) -> Names:
-        """Those of a deployment."""
-        return cls(settings.zones, tuple(kind.name for kind in settings.kinds), clock)
-
-
 class Decoder:
     """Splits the stream into events, however the bytes are cut."""
 
-    def __init__(self, names: Names) -> None:
-        self._names = names
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._zones, self._kinds, self._clock = settings.zones, settings.kinds, clock
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> Iterator[News]:
@@ -65,13 +50,13 @@
     def _news(self, seq: int, kind: int, records: bytes) -> News:
         engines, addresses = [], {}
         for number, host, port, state, zone, shape, cell, weight, started in RECORD.iter_unpack(records):
-            if state >= len(STATES) or zone >= len(self._names.zones) or shape >= len(self._names.kinds):
+            if state >= len(STATES) or zone >= len(self._zones) or shape >= len(self._kinds):
                 raise BadFrameError("change log: a record with a state, zone or kind that is not known")
             engine = f"s-{number:08x}"
             addresses[engine] = (socket.inet_ntoa(host.to_bytes(4, "big")), port)
             engines.append(Engine(
-                engine, self._names.kinds[shape], self._names.zones[zone], cell, STATES[state],
-                self._names.clock(started) if started else None, weight / 1000))
+                engine, self._kinds[shape].name, self._zones[zone], cell, STATES[state],
+                self._clock(started) if started else None, weight / 1000))
         how = ListKind.FULL if kind == WHOLE else ListKind.CHANGES
         return News(seq, EngineList(how, tuple(engines), seq), addresses)
 
--- a/grebeproxy/net/events.py
+++ b/grebeproxy/net/events.py
@@ -88,8 +88,8 @@
     """The router is to finish what it has and end."""
 
 
-Event = Union[ClientSaid, ClientClosed, LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid, LogSaid,
-              LogClosed, Woken, StopAsked]
+LinkEvent = Union[LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid]
+Event = Union[ClientSaid, ClientClosed, LinkEvent, LogSaid, LogClosed, Woken, StopAsked]
 
 
 # --- effects
--- a/grebeproxy/net/resp.py
+++ b/grebeproxy/net/resp.py
@@ -76,7 +76,7 @@
 
 
 def _report(text: str | None) -> dict[str, float] | None:
-    """The load report; a gauge that is no number tells nothing and is left out."""
+    """The load report; a gauge that is infinite or not a number tells nothing and is left out."""
     if not text:
         return None
     gauges = {}
--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -17,7 +17,7 @@
 from grebeproxy.choice import Choice
 from grebeproxy.net.events import (
     Address, Answer, ClientClosed, ClientSaid, CloseClient, CloseLink, Effect, Event, Exit, LinkClosed,
-    LinkOpened, LinkPaused, LinkResumed, LinkSaid, LogClosed, LogSaid, Note, OpenLink, OpenLog,
+    LinkEvent, LinkOpened, LinkPaused, LinkResumed, LinkSaid, LogClosed, LogSaid, Note, OpenLink, OpenLog,
     StopAsked, StopListening, Wake, Woken, Write)
 from grebeproxy.net.messages import (
     Call, End, EngineAnswer, Failed, Fetch, GiveUp, Invalid, News, Ping, Pong, Refused, Run,
@@ -125,7 +125,7 @@
         self._places: dict[str, Place] = {}
         self._pending: list[api.Event] = []
         self._next_round = now
-        self._timers: list[tuple[float, int, Callable[[Any], None], Any]] = []
+        self._timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._numbers = count(1)
         self._commands: dict[int, list[ToEngine]] = {}
         self._effects: list[Effect] = []
@@ -140,7 +140,7 @@
     def start(self, now: float) -> list[Effect]:
         """The first effects."""
         self.now, self._effects = now, []
-        self._dial_log(None)
+        self._dial_log()
         return self._finish()
 
     def step(self, now: float, events: Iterable[Event]) -> list[Effect]:
@@ -149,8 +149,8 @@
         for event in events:
             self._on(event)
         while self._timers and self._timers[0][0] <= now:
-            _, _, call, subject = heappop(self._timers)
-            call(subject)
+            _, _, call, args = heappop(self._timers)
+            call(*args)
         return self._finish()
 
     def _finish(self) -> list[Effect]:
@@ -184,8 +184,8 @@
             self._wake_at = at
             self._effects.append(Wake(at))
 
-    def _at(self, at: float, call: Callable[[Any], None], subject: Any) -> None:
-        heappush(self._timers, (at, next(self._numbers), call, subject))
+    def _at(self, at: float, call: Callable[..., None], *args: Any) -> None:
+        heappush(self._timers, (at, next(self._numbers), call, args))
 
     def _on(self, event: Event) -> None:
         match event:
@@ -200,25 +200,11 @@
             case ClientSaid(conn, Invalid(msg, name)):
                 self._effects.append(Answer(conn, Failed(msg, name)))
             case ClientClosed(conn):
-                for request in list(self._clients.pop(conn, {}).values()):
-                    self._abandon(request)
-            case LinkSaid(number, answer):
-                if number in self._links:
-                    self._heard(self._links[number], answer)
-            case LinkOpened(number):
-                if number in self._links:
-                    self._links[number].up = True
-                    self._flush(self._links[number])
-            case LinkClosed(number):
-                if number in self._links:
-                    self._drop(self._links[number], tell=False)
-            case LinkPaused(number):
-                if number in self._links:
-                    self._links[number].paused = True
-            case LinkResumed(number):
-                if number in self._links:
-                    self._links[number].paused = False
-                    self._flush(self._links[number])
+                self._leave(conn)
+            case LinkOpened() | LinkClosed() | LinkPaused() | LinkResumed() | LinkSaid():
+                # One that crossed our closing names no connection that is left.
+                if (link := self._links.get(event.link)) is not None:
+                    self._on_link(link, event)
             case LogSaid(news):
                 self._read_log(news)
             case LogClosed(reason):
@@ -226,11 +212,26 @@
             case StopAsked():
                 if not self._stopping:
                     self._stopping = True
-                    self._at(self.now + ACCEPT_AFTER_STOP, self._stop_listening, None)
-                    self._at(self.now + SERVE_AFTER_STOP, self._start_refusing, None)
+                    self._at(self.now + ACCEPT_AFTER_STOP, self._stop_listening)
+                    self._at(self.now + SERVE_AFTER_STOP, self._start_refusing)
             case Woken():
                 self._wake_at = None
 
+    def _on_link(self, link: Link, event: LinkEvent) -> None:
+        match event:
+            case LinkSaid(_, answer):
+                self._heard(link, answer)
+            case LinkOpened():
+                link.up = True
+                self._flush(link)
+            case LinkClosed():
+                self._drop(link, tell=False)
+            case LinkPaused():
+                link.paused = True
+            case LinkResumed():
+                link.paused = False
+                self._flush(link)
+
     # --- requests
 
     def _take(self, conn: int, call: Call) -> None:
@@ -238,8 +239,7 @@
         if call.msg in opened:
             # Two answers under one id could not be told apart: nothing on this connection can be trusted.
             self._effects.append(CloseClient(conn))
-            for request in list(self._clients.pop(conn).values()):
-                self._abandon(request)
+            self._leave(conn)
         elif call.txn in self._requests:
             # Guards against a second request under an id that an engine still has: their answers would mix.
             self._effects.append(Answer(conn, Failed(call.msg, "txn")))
@@ -250,11 +250,16 @@
             request = Request(call, conn, self.now + call.limit - TRANSIT)
             self._requests[call.txn] = opened[call.msg] = request
             self._bodies += len(call.body)
-            self._at(request.due + OVERDUE, self._overdue, (call.txn, request.due))
+            self._at(request.due + OVERDUE, self._overdue, call.txn, request.due)
             self._pending.append(api.Query(
                 call.txn, call.cls, request.due, tenant=call.tenant, key=call.key, data_set=call.data_set,
                 work=call.work, memory_mb=call.memory_mb, resent=call.resent))
 
+    def _leave(self, conn: int) -> None:
+        """A client's connection has ended, and with it all that was open on it."""
+        for request in list(self._clients.pop(conn, {}).values()):
+            self._abandon(request)
+
     def _abandon(self, request: Request) -> None:
         """The client waits no more: nothing is owed, and what runs for it is given up."""
         self._settle(request)
@@ -263,13 +268,12 @@
             self._give_up(request.out, api.Outcome.CANCELLED)
         self._forget(request)
 
-    def _overdue(self, known_by: tuple[str, float]) -> None:
+    def _overdue(self, txn: str, due: float) -> None:
         """Guards the rule of one answer in time against a module that has given none."""
-        txn, due = known_by
         request = self._requests.get(txn)
         if request is not None and request.due == due and request.owed:
             self._effects.append(Note(f"request {txn}: no answer was decided in time"))
-            self._effects.append(Answer(request.conn, Failed(request.call.msg)))
+            self._answer(request, Failed(request.call.msg))
             self._abandon(request)
 
     def _answer(self, request: Request, message: ToClient) -> None:
@@ -344,11 +348,10 @@
         attempt.link = link
         link.attempts[action.id] = attempt
         # By name: a timer that held the attempt would keep its statement and pages in memory.
-        self._at(attempt.until, self._expire, (action.id, attempt.number))
+        self._at(attempt.until, self._expire, action.id, attempt.number)
         self._flush(link)
 
-    def _expire(self, known_by: tuple[str, int]) -> None:
-        txn, number = known_by
+    def _expire(self, txn: str, number: int) -> None:
         request = self._requests.get(txn)
         if request is not None and request.out is not None and request.out.number == number:
             self._give_up(request.out, api.Outcome.TIMEOUT)
@@ -373,10 +376,7 @@
             # Nothing was heard since: the machine behind may be gone, and only a new connection can tell.
             link.retired = True
         self._detach(attempt)
-        self._at(self.now + SETTLE, self._settled, (attempt, outcome))
-
-    def _settled(self, stopped: tuple[Attempt, api.Outcome]) -> None:
-        self._end(*stopped)
+        self._at(self.now + SETTLE, self._end, attempt, outcome)
 
     def _end(self, attempt: Attempt, outcome: api.Outcome, settled: bool = False) -> None:
         """An attempt is over: the module hears of it once, however it ended."""
@@ -504,7 +504,7 @@
 
     # --- the change log
 
-    def _dial_log(self, _: None) -> None:
+    def _dial_log(self) -> None:
         self._log_open, self._log_heard = True, self.now
         self._effects.append(OpenLog(self._seq))
         self._log_dials += 1
@@ -523,7 +523,7 @@
         if self._log_open:
             self._log_open = False
             self._effects.append(Note(f"change log: {reason}; trying again after event {self._seq}"))
-            self._at(self.now + self._log_backoff, self._dial_log, None)
+            self._at(self.now + self._log_backoff, self._dial_log)
             self._log_backoff = min(LOG_BACKOFF_MOST, 2 * self._log_backoff)
 
     def _read_log(self, news: News) -> None:
@@ -576,8 +576,8 @@
 
     # --- the end
 
-    def _stop_listening(self, _: None) -> None:
+    def _stop_listening(self) -> None:
         self._effects.append(StopListening())
 
-    def _start_refusing(self, _: None) -> None:
+    def _start_refusing(self) -> None:
         self._refusing = True
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -11,11 +11,10 @@
 import math
 import signal
 import socket
-import sys
 import time
-from collections import deque
 from collections.abc import Iterator
-from typing import Protocol, TypeVar, cast
+from itertools import count
+from typing import Protocol, cast
 
 import uvloop
 
@@ -32,20 +31,18 @@
 GC_THRESHOLDS = (20_000, 20, 50)  # few collections, each of them short: what start-up made is left out
 EXIT_GRACE = 2.0  # seconds to send what is written when all is answered
 
-Message = TypeVar("Message", covariant=True)
 
-
-class Splitter(Protocol[Message]):
+class Splitter(Protocol):
     """A codec's decoder."""
 
-    def feed(self, data: bytes) -> Iterator[Message]:
+    def feed(self, data: bytes) -> Iterator[object]:
         """The messages that these bytes complete."""
 
 
 class Connection(asyncio.Protocol):
     """Decodes what comes in and reports it; what is reported is up to the kinds below."""
 
-    def __init__(self, runtime: Runtime, decoder: Splitter[object]) -> None:
+    def __init__(self, runtime: Runtime, decoder: Splitter) -> None:
         self.runtime, self.decoder = runtime, decoder
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task[None] | None = None
@@ -64,14 +61,16 @@
         if self.ended:
             return
         told: list[events.Event] = []
+        readable = True
         try:
-            told.extend(map(self.said, self.decoder.feed(data)))
+            for message in self.decoder.feed(data):
+                told.append(self.said(message))
         except BadFrameError as error:
             self.runtime.log(str(error))
-            self.runtime.feed(*told)
-            self.end("bytes that cannot be read")
-            return
+            readable = False
         self.runtime.feed(*told)
+        if not readable:
+            self.end("bytes that cannot be read")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end."""
@@ -185,8 +184,7 @@
     """The connection to the change log."""
 
     def __init__(self, runtime: Runtime, seq: int) -> None:
-        names = changelog.Names.of(runtime.config.settings, runtime.clock)
-        super().__init__(runtime, changelog.Decoder(names))
+        super().__init__(runtime, changelog.Decoder(runtime.config.settings, runtime.clock))
         self._seq = seq
 
     def opened(self) -> None:
@@ -213,9 +211,9 @@
         self._log_link: Log | None = None
         self._server: asyncio.Server | None = None
         self._wake: asyncio.TimerHandle | None = None
-        self._events: deque[events.Event] = deque()
+        self._events: list[events.Event] = []
         self._stepping = False
-        self._numbers = iter(range(1, sys.maxsize))
+        self._numbers = count(1)
         self._done = asyncio.Event()
         # Read once. Guards against an engine's start that is told again looking a little later than before,
         # and so like another start: the module would take the engine for cold anew.
@@ -255,8 +253,8 @@
         for client in list(self.clients.values()):
             if client.transport is not None:
                 client.transport.close()
-        until = time.monotonic() + EXIT_GRACE
-        while self.unsent() and time.monotonic() < until:
+        until = self.now() + EXIT_GRACE
+        while self.unsent() and self.now() < until:
             await asyncio.sleep(0.01)
 
     def feed(self, *told: events.Event) -> None:
@@ -267,8 +265,7 @@
         self._stepping = True
         try:
             while self._events:
-                batch = list(self._events)
-                self._events.clear()
+                batch, self._events = self._events, []
                 self._carry_out(self._router.step(self.now(), batch))
         finally:
             self._stepping = False
