Read the configuration again on SIGHUP and follow the change log where it is now

Now SIGHUP reads and checks the file; a bad one is logged and the old one kept; a new changelog address is dialled at once from the last event.

--- a/grebeproxy/__main__.py
+++ b/grebeproxy/__main__.py
@@ -17,7 +17,7 @@
         return 2
     logging.basicConfig(level=logging.INFO, format="%(message)s")
     try:
-        run(config)
+        run(config, lambda: load(os.environ))
     except OSError as error:  # the address is taken, or not this machine's
         print(f"grebeproxy: listen: {error}", file=sys.stderr)
         return 1
--- a/grebeproxy/net/events.py
+++ b/grebeproxy/net/events.py
@@ -83,13 +83,20 @@
     """The time asked for with ``Wake`` has come."""
 
 
+@dataclass(frozen=True, slots=True)
+class Reloaded:
+    """The configuration was read again: where the change log is from now on."""
+
+    changelog: Address
+
+
 @dataclass(frozen=True, slots=True)
 class StopAsked:
     """The router is to finish what it has and end."""
 
 
 LinkEvent = Union[LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid]
-Event = Union[ClientSaid, ClientClosed, LinkEvent, LogSaid, LogClosed, Woken, StopAsked]
+Event = Union[ClientSaid, ClientClosed, LinkEvent, LogSaid, LogClosed, Woken, Reloaded, StopAsked]
 
 
 # --- effects
@@ -137,6 +144,7 @@
 class OpenLog:
     """Connect to the change log, ending an earlier connection, and ask for what came after an event."""
 
+    address: Address
     seq: int
 
 
--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -15,10 +15,11 @@
 
 from grebeproxy import interface as api
 from grebeproxy.choice import Choice
+from grebeproxy.net import follower
 from grebeproxy.net.events import (
     Address, Answer, ClientClosed, ClientSaid, CloseClient, CloseLink, Effect, Event, Exit, LinkClosed,
-    LinkEvent, LinkOpened, LinkPaused, LinkResumed, LinkSaid, LogClosed, LogSaid, Note, OpenLink, OpenLog,
-    StopAsked, StopListening, Wake, Woken, Write)
+    LinkEvent, LinkOpened, LinkPaused, LinkResumed, LinkSaid, LogClosed, LogSaid, Note, OpenLink,
+    Reloaded, StopAsked, StopListening, Wake, Woken, Write)
 from grebeproxy.net.messages import (
     Call, End, EngineAnswer, Failed, Fetch, GiveUp, Invalid, News, Ping, Pong, Refused, Run,
     Served, Stop, ToClient, ToEngine, Word)
@@ -32,8 +33,6 @@
 MOST_BODIES = 32 * 1024 * 1024  # bytes of all statements that are open, of the 192 MB
 IDLE_SHARE = 0.8  # of the engines' idle time-out: closing first keeps requests from crossing their close
 LINK_SHARE = 3  # a third of the descriptors may be connections to engines; clients have another
-LOG_SILENCE = 2.5  # a frame is due each second
-LOG_BACKOFF, LOG_BACKOFF_MOST = 0.1, 1.0
 ACCEPT_AFTER_STOP, SERVE_AFTER_STOP = 0.5, 0.7  # seconds; new connections come for 0.4 of them
 
 class Module(Protocol):
@@ -109,9 +108,8 @@
 class Router:
     """One query router. ``decide`` makes its decision module; tests may put another in its place."""
 
-    def __init__(self, settings: api.Settings, limits: WireLimits, *, sockets: int, seed: int, now: float,
-                 known: Iterable[News] = (),
-                 decide: Decide = Choice) -> None:
+    def __init__(self, settings: api.Settings, limits: WireLimits, *, changelog: Address, sockets: int,
+                 seed: int, now: float, known: Iterable[News] = (), decide: Decide = Choice) -> None:
         # Probes, messages between routers and asking for the list have no form on sockets.
         self.settings = replace(settings, may_probe=False, may_message=False, asks_for_list=False)
         self.limits, self.now = limits, now
@@ -130,17 +128,16 @@
         self._commands: dict[int, list[ToEngine]] = {}
         self._effects: list[Effect] = []
         self._wake_at: float | None = None
-        self._seq, self._log_heard, self._log_backoff = 0, now, LOG_BACKOFF
-        self._log_open, self._log_dials = False, 0
+        self._log = follower.Follower(changelog, now)
         self._stopping = self._refusing = self._done = False
         for news in known:
-            self._seq = news.seq
+            self._log.seq = news.seq
             self._apply(news)
 
     def start(self, now: float) -> list[Effect]:
         """The first effects."""
         self.now, self._effects = now, []
-        self._dial_log()
+        self._dial_log(self._log.dials)
         return self._finish()
 
     def step(self, now: float, events: Iterable[Event]) -> list[Effect]:
@@ -209,6 +206,8 @@
                 self._read_log(news)
             case LogClosed(reason):
                 self._lose_log(reason)
+            case Reloaded(address):
+                self._move_log(address)
             case StopAsked():
                 if not self._stopping:
                     self._stopping = True
@@ -504,39 +503,40 @@
 
     # --- the change log
 
-    def _dial_log(self) -> None:
-        self._log_open, self._log_heard = True, self.now
-        self._effects.append(OpenLog(self._seq))
-        self._log_dials += 1
-        self._at(self.now + LOG_SILENCE, self._check_log, self._log_dials)
+    def _dial_log(self, dials: int) -> None:
+        # Guards against two connections: one that was dialled meanwhile, at another address, has the say.
+        if dials != self._log.dials:
+            return
+        self._effects.append(follower.dial(self._log, self.now))
+        self._at(self.now + follower.SILENCE, self._check_log, self._log.dials)
 
-    def _check_log(self, dial: int) -> None:
-        """Silence ends a connection to the log as a reset does."""
-        if not self._log_open or dial != self._log_dials:
+    def _check_log(self, dials: int) -> None:
+        if not self._log.open or dials != self._log.dials:
             return
-        if self.now - self._log_heard >= LOG_SILENCE - 1e-6:
+        if follower.silent(self._log, self.now):
             self._lose_log("silent")
         else:
-            self._at(self._log_heard + LOG_SILENCE, self._check_log, dial)
+            self._at(self._log.heard + follower.SILENCE, self._check_log, dials)
 
     def _lose_log(self, reason: str) -> None:
-        if self._log_open:
-            self._log_open = False
-            self._effects.append(Note(f"change log: {reason}; trying again after event {self._seq}"))
-            self._at(self.now + self._log_backoff, self._dial_log)
-            self._log_backoff = min(LOG_BACKOFF_MOST, 2 * self._log_backoff)
+        if self._log.open:
+            self._effects.append(Note(f"change log: {reason}; trying again after event {self._log.seq}"))
+            self._at(self.now + follower.lose(self._log), self._dial_log, self._log.dials)
 
     def _read_log(self, news: News) -> None:
-        if not self._log_open:
-            return
-        self._log_heard, self._log_backoff = self.now, LOG_BACKOFF
-        if news.change is None or news.seq <= self._seq:  # a sign of life, or a repeat
+        if not self._log.open:
             return
-        if news.change.how is not api.ListKind.FULL and news.seq != self._seq + 1:
-            self._lose_log(f"event {news.seq} came after {self._seq}")
-            return
-        self._seq = news.seq
-        self._apply(news)
+        try:
+            if follower.read(self._log, news, self.now):
+                self._apply(news)
+        except ValueError as error:
+            self._lose_log(str(error))
+
+    def _move_log(self, address: Address) -> None:
+        if follower.move(self._log, address):
+            host, port = address
+            self._effects.append(Note(f"change log: at {host}:{port} after event {self._log.seq}"))
+            self._dial_log(self._log.dials)
 
     def _apply(self, news: News) -> None:
         change, addresses = news.change, news.addresses or {}
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -12,14 +12,15 @@
 import signal
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from dataclasses import replace
 from itertools import count
 from typing import Protocol, cast
 
 import uvloop
 
 from grebeproxy.choice import Choice
-from grebeproxy.config import Config
+from grebeproxy.config import Config, ConfigError
 from grebeproxy.net import changelog, events, msgpack_rpc, resp, router
 from grebeproxy.net.messages import BadFrameError, EngineAnswer, FromClient, News
 
@@ -219,8 +220,9 @@
         # and so like another start: the module would take the engine for cold anew.
         self._unix_offset = time.time() - time.monotonic()
         self._router = router.Router(
-            config.settings, config.limits, sockets=config.sockets, seed=config.seed, now=self.now(),
-            known=changelog.known_events(config.known, self.clock), decide=decide)
+            config.settings, config.limits, changelog=config.changelog, sockets=config.sockets,
+            seed=config.seed, now=self.now(), decide=decide,
+            known=changelog.known_events(config.known, self.clock))
 
     def next_number(self) -> int:
         """A number for a client's connection."""
@@ -290,11 +292,11 @@
                 case events.CloseClient(number):
                     if (leaving := self.clients.pop(number, None)) is not None:
                         leaving.close()
-                case events.OpenLog(seq):
+                case events.OpenLog(address, seq):
                     if self._log_link is not None:
                         self._log_link.close()
                     self._log_link = Log(self, seq)
-                    self._connect(self._log_link, self.config.changelog)
+                    self._connect(self._log_link, address)
                 case events.Note(text):
                     self.log(text)
                 case events.StopListening():
@@ -306,6 +308,22 @@
         """Finish what was taken, then end."""
         self.feed(events.StopAsked())
 
+    def reload(self, read: Callable[[], Config]) -> None:
+        """Take what may change while serving from a configuration that is read again.
+
+        Guards against a file that cannot be used: it is told of, and what was in force stays so.
+        """
+        try:
+            fresh = read()
+        except ConfigError as error:
+            self.log(f"configuration kept as it was: {error}")
+            return
+        kept = replace(fresh, changelog=self.config.changelog) != self.config
+        self.config = replace(self.config, changelog=fresh.changelog)
+        self.log("configuration read again" + (
+            "; all that differs but changelog takes effect at the next start" if kept else ""))
+        self.feed(events.Reloaded(fresh.changelog))
+
     def stop_listening(self) -> None:
         """Take no more connections."""
         if self._server is not None:
@@ -337,13 +355,14 @@
             connection.end(str(error))
 
 
-def run(config: Config) -> None:
-    """Serve as a program of its own: on uvloop, until SIGTERM or SIGINT."""
+def run(config: Config, read: Callable[[], Config]) -> None:
+    """Serve as a program of its own: on uvloop, until SIGTERM or SIGINT; SIGHUP reads the configuration."""
 
     async def serve() -> None:
         runtime = Runtime(config)
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, runtime.terminate)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, runtime.reload, read)
         # Guards against collections that stall the loop: keys are ordered by when requests are read.
         gc.collect()
         gc.freeze()
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -23,7 +23,7 @@
 FOLDER = Path(__file__).parent / "exchanges"
 CONFIG = Path(__file__).parent.parent / "examples" / "config.json"
 START = 1000.0
-INPUTS = {">", "up", "lost", "full", "drained", "term", "wait"}
+INPUTS = {">", "up", "lost", "full", "drained", "term", "hup", "wait"}
 
 
 def to_bytes(text: str) -> bytes:
@@ -176,6 +176,8 @@
                 peer.protocol.resume_writing()
             case "term":
                 self.terminate()
+            case "hup":  # the file now says this
+                self.reload(lambda: parse(with_changes(orjson.loads(data))))
 
     def connect(self, who: str) -> None:
         self.peers[who].protocol.connection_made(cast(Any, self.peers[who]))
