Bound answers and requests on their headers, and let extras match no other attempt

Checked with a probe: hiredis.Reader reads '$3' before 'abcdef' as 'abc' and leaves the rest (resp.Decoder.feed passed that on), and waits for a body said to have 3 GB; it takes no bound. msgpack's Unpacker waits for a bin said to have 2.4 GB, as it checks lengths after the fact. At fault: resp.Decoder (reader), router._heard (a second 'ok' ended a good attempt as an error; a second 'refused' could end the next attempt on the same connection), router._drop (attempts ended before our closing had arrived, so the next of a key overtook it). Now: own reader of arrays of four bounded words, line ends checked; a walk over MessagePack headers that refuses at once, msgpack unpacks what is whole; what cannot be right ends its connection only if it answers an attempt that is out (a probe showed noise under unknown ids as an extra of good answers); an answer that is not whole after 0.3 s ends its connection; attempts end 20 ms after a closing; one idle timer for a connection.

--- a/grebeproxy/net/changelog.py
+++ b/grebeproxy/net/changelog.py
@@ -33,6 +33,11 @@
         self._zones, self._kinds, self._clock = settings.zones, settings.kinds, clock
         self._buffer = bytearray()
 
+    @property
+    def partial(self) -> bool:
+        """A frame has begun and is not whole yet."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[News]:
         """The events that these bytes complete."""
         self._buffer += data
--- a/grebeproxy/net/events.py
+++ b/grebeproxy/net/events.py
@@ -64,6 +64,13 @@
     answer: EngineAnswer
 
 
+@dataclass(frozen=True, slots=True)
+class LinkPartial:
+    """An engine's answer has begun and is not whole."""
+
+    link: int
+
+
 @dataclass(frozen=True, slots=True)
 class LogSaid:
     """An event of the change log."""
@@ -95,7 +102,7 @@
     """The router is to finish what it has and end."""
 
 
-LinkEvent = Union[LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid]
+LinkEvent = Union[LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid, LinkPartial]
 Event = Union[ClientSaid, ClientClosed, LinkEvent, LogSaid, LogClosed, Woken, Reloaded, StopAsked]
 
 
--- a/grebeproxy/net/messages.py
+++ b/grebeproxy/net/messages.py
@@ -149,6 +149,7 @@
     STALE = "stale"
     PAGE = "page"
     ALIVE = "alive"
+    SPOILT = "spoilt"  # it says what cannot be
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebeproxy/net/msgpack_rpc.py
+++ b/grebeproxy/net/msgpack_rpc.py
@@ -15,7 +15,13 @@
 from grebeproxy.net.statement import table_group
 
 REQUEST, RESPONSE, NOTIFICATION = 0, 1, 2
-MOST_BYTES = 256 * 1024  # one message: a statement and a few fields
+MOST_BYTES, MOST_ITEMS = 64 * 1024, 64  # of one message: a statement and a few fields
+TOPS = (0x93, 0x94)  # an array of three or four
+# From 0xc0 on: bytes of the header or of all, how many of them tell a length, and values for each it tells.
+HEADERS = ((1, 0, 0), (0, 0, 0), (1, 0, 0), (1, 0, 0), (2, 1, 0), (3, 2, 0), (5, 4, 0), (0, 0, 0), (0, 0, 0),
+           (0, 0, 0), (5, 0, 0), (9, 0, 0), (2, 0, 0), (3, 0, 0), (5, 0, 0), (9, 0, 0), (2, 0, 0), (3, 0, 0),
+           (5, 0, 0), (9, 0, 0), (0, 0, 0), (0, 0, 0), (0, 0, 0), (0, 0, 0), (0, 0, 0), (2, 1, 0), (3, 2, 0),
+           (5, 4, 0), (3, 2, 1), (5, 4, 1), (3, 2, 2), (5, 4, 2))
 MOST_WAIT_MS = 3_600_000.0
 TXN = re.compile(r"[0-9a-fA-F]{16}")
 # What engines are told of: a comma or an equals sign would end the field there.
@@ -23,23 +29,71 @@
 
 
 class Decoder:
-    """Splits what a client sends into messages, however the bytes are cut."""
+    """Splits what a client sends into messages, however the bytes are cut.
+
+    msgpack unpacks what is whole. Its own splitter waits for a body that is said to have 2 GB, as it checks a
+    length only once all of it has come; here a message is refused on the header that makes it too long.
+    """
 
     def __init__(self, settings: Settings) -> None:
         self._effects = {cls.name: cls.effect for cls in settings.classes}
         self._tenants = {tenant.name for tenant in settings.tenants}
-        self._unpacker = msgpack.Unpacker(max_buffer_size=MOST_BYTES)
+        self._buffer = bytearray()
+        self._at, self._left = 0, 1  # so much of a message is read, and so many values of it are to come
+        self._items = 0
+
+    @property
+    def partial(self) -> bool:
+        """A message has begun and is not whole yet."""
+        return bool(self._buffer)
 
     def feed(self, data: bytes) -> Iterator[FromClient]:
         """The messages that these bytes complete."""
+        self._buffer += data
+        start = 0  # of the message that is read; what is before it goes at the end, once
         try:
-            # In parts, as a burst of many small messages may pass the size that one may have.
-            for start in range(0, len(data), MOST_BYTES // 2):
-                self._unpacker.feed(data[start:start + MOST_BYTES // 2])
-                for message in self._unpacker:
-                    yield self._message(message)
+            while self._whole(start):
+                whole = bytes(self._buffer[start:start + self._at])
+                start, self._at, self._left, self._items = start + self._at, 0, 1, 0
+                yield self._message(msgpack.unpackb(whole))
         except (ValueError, msgpack.UnpackException, TypeError) as error:
             raise BadFrameError(f"client: {str(error) or type(error).__name__}") from None
+        del self._buffer[:start]
+
+    def _whole(self, start: int) -> bool:
+        """Walk on over the headers; tells whether a message is there whole."""
+        buffer = self._buffer
+        while self._left:
+            at = start + self._at
+            if at >= len(buffer):
+                return False
+            first = buffer[at]
+            if not self._at and first not in TOPS:
+                raise ValueError("not a request or a notification")
+            if first < 0x80 or first >= 0xE0:
+                size, inner = 1, 0
+            elif first < 0x90:
+                size, inner = 1, 2 * (first & 0x0F)
+            elif first < 0xA0:
+                size, inner = 1, first & 0x0F
+            elif first < 0xC0:
+                size, inner = 1 + (first & 0x1F), 0
+            else:
+                fixed, width, counted = HEADERS[first - 0xC0]
+                if not fixed:
+                    raise ValueError(f"type {first:#x} has no place in a message")
+                if at + fixed > len(buffer):
+                    return False
+                told = int.from_bytes(buffer[at + 1:at + 1 + width], "big")
+                size, inner = (fixed, counted * told) if counted else (fixed + told, 0)
+            self._items += inner
+            if self._at + size > MOST_BYTES or self._items > MOST_ITEMS:
+                raise ValueError("a message that is too long")
+            if at + size > len(buffer):
+                return False
+            self._at += size
+            self._left += inner - 1
+        return True
 
     def _message(self, message: object) -> FromClient:
         match message:
@@ -53,7 +107,7 @@
                 return Invalid(msg, "params")
             case [int(kind), int(msg), *_] if kind == REQUEST:
                 return Invalid(msg, "method")
-        raise BadFrameError("client: not a request or a notification")
+        raise ValueError("not a request or a notification")
 
     def _call(self, msg: int, cls: str, fields: dict[Any, Any], body: bytes) -> FromClient:
         try:
--- a/grebeproxy/net/resp.py
+++ b/grebeproxy/net/resp.py
@@ -11,7 +11,9 @@
 from grebeproxy.net.messages import BadFrameError, End, EngineAnswer, Fetch, Run, Stop, ToEngine, Word
 from grebeproxy.settings import report_from
 
-MOST_BYTES = 64 * 1024  # one answer is a page of 6,000 bytes and its fields; far more is no answer
+MOST_WORDS = (64, 16, 1024, 6000)  # bytes of an answer's id, word, fields and page
+MOST_PAGES = 64  # above the 8 of a result
+HEAD, MOST_LINE = b"*4", 16
 WORDS = {b"ok": Word.OK, b"refused": Word.FULL, b"error": Word.ERROR, b"stale": Word.STALE,
          b"batch": Word.PAGE, b"yes": Word.ALIVE}
 
@@ -37,42 +39,75 @@
 
 
 class Decoder:
-    """Splits what an engine sends into answers, however the bytes are cut."""
+    """Splits what an engine sends into answers, however the bytes are cut.
+
+    hiredis only encodes here. Its reader takes a length that is too short for the body, passing on a result
+    that is cut off, and waits for a body that is said to have 3 GB: it can be told no bound.
+    """
 
     def __init__(self) -> None:
-        self._reader = hiredis.Reader()
-        self._unread = 0
+        self._buffer = bytearray()
+        self._at = 0  # so much of it is read
+        self._words: list[bytes] | None = None  # of the answer that has begun
+
+    @property
+    def partial(self) -> bool:
+        """An answer has begun and is not whole yet."""
+        return self._words is not None or bool(self._buffer)
 
     def feed(self, data: bytes) -> Iterator[EngineAnswer]:
         """The answers that these bytes complete."""
-        self._reader.feed(data)
-        self._unread += len(data)
-        while True:
-            try:
-                words = self._reader.gets()
-            except (hiredis.HiredisError, MemoryError) as error:  # the latter for a count beyond all memory
-                raise BadFrameError(f"engine: {error}") from None
-            if words is False:
-                # Guards the memory against a length that no answer has.
-                if self._unread > MOST_BYTES:
-                    raise BadFrameError("engine: an answer that is too long")
-                return
-            self._unread = 0
-            yield _answer(words)
-
-
-def _answer(words: object) -> EngineAnswer:
-    if not (isinstance(words, list) and len(words) == 4 and all(isinstance(w, bytes) for w in words)):
-        raise BadFrameError("engine: not an array of four bulk strings")
-    txn, word, fields, body = words
-    if word not in WORDS:
-        raise BadFrameError("engine: an unknown word")
+        self._buffer += data
+        while self._read():
+            if self._words is not None and len(self._words) == len(MOST_WORDS):
+                words, self._words = self._words, None
+                yield _answer(*words)
+        del self._buffer[:self._at]
+        self._at = 0
+
+    def _read(self) -> bool:
+        """Read the head of an answer or one of its words, if that is there whole."""
+        end = self._buffer.find(b"\r\n", self._at, self._at + MOST_LINE)
+        line = bytes(self._buffer[self._at:end])
+        if end < 0:
+            if len(self._buffer) - self._at >= MOST_LINE:
+                raise BadFrameError("engine: a line without end where a length was due")
+            return False
+        if self._words is None:
+            if line != HEAD:
+                raise BadFrameError("engine: not an array of four bulk strings")
+            self._words, self._at = [], end + 2
+            return True
+        if not (line.startswith(b"$") and line[1:].isdigit()):
+            raise BadFrameError("engine: not a bulk string")
+        start, size = end + 2, int(line[1:])
+        # Guards the memory, on the length alone: what is said to have 3 GB ends before it is buffered.
+        if size > MOST_WORDS[len(self._words)]:
+            raise BadFrameError("engine: an answer that is too long")
+        if len(self._buffer) < start + size + 2:
+            return False
+        # Guards against passing on a result that a wrong length has cut off.
+        if self._buffer[start + size:start + size + 2] != b"\r\n":
+            raise BadFrameError("engine: a length that does not fit")
+        self._words.append(bytes(self._buffer[start:start + size]))
+        self._at = start + size + 2
+        return True
+
+
+def _answer(txn: bytes, word: bytes, fields: bytes, body: bytes) -> EngineAnswer:
+    """An answer that is framed as it should be; one that says what cannot be is told as spoilt."""
+    name, kind = txn.decode(errors="replace"), WORDS.get(word, Word.SPOILT)
     try:
         named = dict(item.split("=", 1) for item in fields.decode().split(",")) if fields != b"-" else {}
-        return EngineAnswer(txn.decode(), WORDS[word], body, pages=int(named.get("count", 1)),
-                            page=int(named.get("pos", 0)), report=_report(named.get("gauges")))
-    except ValueError as error:
-        raise BadFrameError(f"engine: fields that cannot be read: {error}") from None
+        pages, page = int(named.get("count", 1)), int(named.get("pos", 0))
+        report = _report(named.get("gauges"))
+    except ValueError:
+        return EngineAnswer(name, Word.SPOILT)
+    # Guards against passing on noise: a page is whole rows of three columns.
+    rows = not body or (body.endswith(b"\n") and body.count(b"\t") == 2 * body.count(b"\n"))
+    if not (1 <= pages <= MOST_PAGES and 0 <= page < MOST_PAGES and (rows or kind is Word.ERROR)):
+        return EngineAnswer(name, Word.SPOILT)
+    return EngineAnswer(name, kind, body, pages, page, report)
 
 
 def _report(text: str | None) -> dict[str, float] | None:
--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -18,8 +18,8 @@
 from grebeproxy.net import follower
 from grebeproxy.net.events import (
     Address, Answer, ClientClosed, ClientSaid, CloseClient, CloseLink, Effect, Event, Exit, LinkClosed,
-    LinkEvent, LinkOpened, LinkPaused, LinkResumed, LinkSaid, LogClosed, LogSaid, Note, OpenLink,
-    Reloaded, StopAsked, StopListening, Wake, Woken, Write)
+    LinkEvent, LinkOpened, LinkPartial, LinkPaused, LinkResumed, LinkSaid, LogClosed, LogSaid, Note,
+    OpenLink, Reloaded, StopAsked, StopListening, Wake, Woken, Write)
 from grebeproxy.net.messages import (
     Call, End, EngineAnswer, Failed, Fetch, GiveUp, Invalid, News, Ping, Pong, Refused, Run,
     Served, Stop, ToClient, ToEngine, Word)
@@ -28,8 +28,9 @@
 TRANSIT = 0.020  # seconds of a client's limit kept for the request's and the answer's way
 SETTLE = 0.020  # a stop is on its way so long before its attempt counts as ended
 OVERDUE = 0.030  # after the due time, within the rules' slack: the module has had its chance by then
+STOPPED_SHORT = 0.3  # seconds from an answer's first byte after which it will not be whole any more
 OPEN_PER_CLIENT = 32
-MOST_PAGES, MOST_RESULT = 64, 64 * 1024  # above the 8 pages and 48,000 bytes of a result
+MOST_RESULT = 48_000  # bytes
 MOST_BODIES = 32 * 1024 * 1024  # bytes of all statements that are open, of the 192 MB
 IDLE_SHARE = 0.8  # of the engines' idle time-out: closing first keeps requests from crossing their close
 LINK_SHARE = 3  # a third of the descriptors may be connections to engines; clients have another
@@ -92,6 +93,7 @@
     idle_since: float
     up: bool = False
     paused: bool = False
+    partial: float | None = None  # since when an answer has begun and is not whole
     retired: bool = False  # takes no further attempts and ends with its last
     attempts: dict[str, Attempt] = field(default_factory=dict)
     unsent: list[Attempt] = field(default_factory=list)  # written last, and not sent whole while paused
@@ -198,7 +200,7 @@
                 self._effects.append(Answer(conn, Failed(msg, name)))
             case ClientClosed(conn):
                 self._leave(conn)
-            case LinkOpened() | LinkClosed() | LinkPaused() | LinkResumed() | LinkSaid():
+            case LinkOpened() | LinkClosed() | LinkPaused() | LinkResumed() | LinkSaid() | LinkPartial():
                 # One that crossed our closing names no connection that is left.
                 if (link := self._links.get(event.link)) is not None:
                     self._on_link(link, event)
@@ -219,7 +221,12 @@
     def _on_link(self, link: Link, event: LinkEvent) -> None:
         match event:
             case LinkSaid(_, answer):
+                link.partial = None
                 self._heard(link, answer)
+            case LinkPartial():
+                if link.partial is None:
+                    link.partial = self.now
+                    self._at(self.now + STOPPED_SHORT, self._check_partial, link, self.now)
             case LinkOpened():
                 link.up = True
                 self._flush(link)
@@ -381,8 +388,8 @@
         """An attempt is over: the module hears of it once, however it ended."""
         if attempt.request.out is not attempt:
             return
-        if attempt.link is not None and attempt.pages is not None and not settled:
-            attempt.request.spent.add(attempt.link.id)  # further pages of this attempt may still come
+        if attempt.link is not None and attempt.written and not settled:
+            attempt.request.spent.add(attempt.link.id)  # further pages, or the answer again, may still come
         self._detach(attempt)
         attempt.request.out = None
         self._report(attempt, outcome, settled)
@@ -397,13 +404,10 @@
         link.heard = self.now
         attempt = link.attempts.get(answer.txn)
         if attempt is None or not attempt.written:
-            return  # the late answer of an attempt that was given up
+            return  # the late answer of an attempt that was given up, or one that nobody asked for
         attempt.report = answer.report or attempt.report
         match answer.word:
             case Word.OK if attempt.pages is None:
-                if not 1 <= answer.pages <= MOST_PAGES:
-                    self._end(attempt, api.Outcome.ERROR)
-                    return
                 attempt.pages = [None] * answer.pages
                 self._add_page(attempt, 0, answer.body)
                 if answer.pages > 1 and attempt.request.out is attempt:
@@ -414,7 +418,10 @@
                 self._end(attempt, api.Outcome.FULL)
             case Word.STALE if attempt.pages is None:
                 self._end(attempt, api.Outcome.MOOT)
-            case Word.ALIVE:
+            case Word.SPOILT:  # nothing else on its connection can be trusted either
+                self._effects.append(Note(f"engine {link.engine}: an answer that cannot be right"))
+                self._drop(link)
+            case Word.ALIVE | Word.OK:  # the latter a second copy: what it brings more harms nothing
                 pass
             case _:  # also a page that the engine lost: it ran, and a short answer would be wrong
                 self._end(attempt, api.Outcome.ERROR)
@@ -446,8 +453,15 @@
         self._engine_links.setdefault(attempt.engine, []).append(link)
         self._effects.append(OpenLink(link.id, self._places[attempt.engine].address))
         self._at(self.now + self.limits.connect_timeout, self._check_open, link)
+        self._at(self.now + IDLE_SHARE * self.limits.idle_timeout, self._check_idle, link)
         return link
 
+    def _check_partial(self, link: Link, since: float) -> None:
+        """Guards against answers that stop short or do not end: nothing that is behind them can come."""
+        if link.partial == since and link.id in self._links:
+            self._effects.append(Note(f"engine {link.engine}: an answer that stopped short"))
+            self._drop(link)
+
     def _check_open(self, link: Link) -> None:
         if not link.up and link.id in self._links:
             self._drop(link)
@@ -479,13 +493,16 @@
         link.idle_since = self.now
         if link.retired:
             self._drop(link)
-        else:
-            self._at(self.now + IDLE_SHARE * self.limits.idle_timeout, self._check_idle, link)
 
     def _check_idle(self, link: Link) -> None:
-        idle = self.now - link.idle_since >= IDLE_SHARE * self.limits.idle_timeout - 1e-6
-        if link.id in self._links and not link.attempts and idle:
+        """One timer for a connection's whole life; one for each time it falls idle would pile up."""
+        if link.id not in self._links:
+            return
+        since = self.now if link.attempts else link.idle_since
+        if self.now - since >= IDLE_SHARE * self.limits.idle_timeout - 1e-6:
             self._drop(link)
+        else:
+            self._at(since + IDLE_SHARE * self.limits.idle_timeout, self._check_idle, link)
 
     def _drop(self, link: Link, tell: bool = True) -> None:
         """End a connection. What was written to it may have run; what was not never did."""
@@ -499,7 +516,13 @@
         else:
             self._commands.pop(link.id, None)
         for attempt in list(link.attempts.values()):
-            self._end(attempt, api.Outcome.RESET if attempt.written else api.Outcome.CONNECT_FAILED)
+            if not attempt.written:
+                self._end(attempt, api.Outcome.CONNECT_FAILED)
+            elif not attempt.stopped:
+                # Guards against a next attempt, or the next in order, that is there before our closing is.
+                attempt.stopped = True
+                self._detach(attempt)
+                self._at(self.now + SETTLE, self._end, attempt, api.Outcome.RESET)
 
     # --- the change log
 
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -36,6 +36,10 @@
 class Splitter(Protocol):
     """A codec's decoder."""
 
+    @property
+    def partial(self) -> bool:
+        """A message has begun and is not whole yet."""
+
     def feed(self, data: bytes) -> Iterator[object]:
         """The messages that these bytes complete."""
 
@@ -69,6 +73,8 @@
         except BadFrameError as error:
             self.runtime.log(str(error))
             readable = False
+        if readable and self.decoder.partial:
+            told += self.begun()
         self.runtime.feed(*told)
         if not readable:
             self.end("bytes that cannot be read")
@@ -99,6 +105,10 @@
         """The event of a message."""
         raise NotImplementedError
 
+    def begun(self) -> list[events.Event]:
+        """The event of a message that is not whole, where that matters."""
+        return []
+
     def closed(self, reason: str) -> events.Event:
         """The event of the end."""
         raise NotImplementedError
@@ -166,6 +176,10 @@
         """An engine's answer."""
         return events.LinkSaid(self.number, cast(EngineAnswer, message))
 
+    def begun(self) -> list[events.Event]:
+        """A part of an answer."""
+        return [events.LinkPartial(self.number)]
+
     def closed(self, reason: str) -> events.Event:
         """The connection is gone."""
         self.runtime.links.pop(self.number, None)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -63,7 +63,8 @@
 def test_a_client_that_reads_none_of_its_answers_loses_its_connection() -> None:
     lines = [f"10 c1 > {asked(1)}", "11 L1 up", "12 c1 full"]
     for number in range(1, 50):
-        lines += [f"{20 + 10 * number} L1 > {told(number, 'ok', 'count=1', b'x' * 48_000)}",
+        rest = "".join(told(number, "batch", f"pos={pos}", page(pos)) for pos in range(1, 8))
+        lines += [f"{20 + 10 * number} L1 > {told(number, 'ok', 'count=8', page(0))}{rest}",
                   f"{21 + 10 * number} c1 > {asked(number + 1)}"]
     played = play("\n".join(lines)).splitlines()
     answers = [line for line in played if " c1 < " in line]
