Keep lookups away from loads on their data set, and fetch them from behind one

Ruled out: sockets (request to first attempt 1 ms at the median), full or slow engines, resets. Lookups stand still while a load holds their data set; Choice._cost kept loads apart but sent lookups there, for the warm set even rather there, and _stuck never called off where few gateways share the engines (alike >= 0.5). Now _cost keeps what waits for loads away from ours, and what is out for 0.3 of its aim is tried elsewhere; the engine it stood still at is avoided for that data set for as long as a load usually runs.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -26,6 +26,9 @@
 PATIENCE = 4.0  # an engine that has been silent for this many expected run times is suspect
 FAULTY = 0.3  # share of failing attempts, above twice the fleet's own, that ejects an engine
 KEEP = 0.98  # weight kept by earlier bills at each new one
+BARRED = 2.0  # threads per core that a load which holds the data set is worth to what waits for loads
+HOLD = 1.0  # part of a load's usual run for which its data set is taken to be held where one stood still
+STILL = 0.3  # part of its aim after which such a query is taken to stand still
 PROBES = 3  # engines probed before a long query goes to one of them
 MOST_SETS = 1024  # data sets of which it is known that they are asked for
 SCAN = 16  # held queries of a class that are looked at for one that may go
@@ -50,6 +53,9 @@
         # This gateway's part of each tenant's allowance; a second deep, and what chance arrivals add to that.
         parts = ((t.name, t.allowance / settings.balancers) for t in settings.tenants)
         self.shares = {name: Bucket(part, 1.0 + part + 2.0 * part ** 0.5, now) for name, part in parts}
+        # So long what stood still behind one keeps others away.
+        runs = (u / c.threads for u, c in zip(self.usual, order, strict=True) if c.holds_data_set)
+        self.hold = HOLD * max(runs, default=0.0)
         self.pause = max(settings.tick, self.tight.aim / 16)
         self.watch_at = now if settings.asks_for_list else float("inf")
 
@@ -157,6 +163,8 @@
         cost = threads / e.cores * slow + (e is job.avoid)
         if data_set is not None:
             cost += COLD_SET * alike * (data_set not in e.warm)
+            if job.cls.waits_for_loads and self._barred(e, data_set):
+                cost += BARRED
             if job.cls.holds_data_set and any(
                     o.query.data_set == data_set and o.cls.holds_data_set for o in e.out.values()):
                 cost += 2.0  # it would stand still until the other load ends
@@ -168,6 +176,11 @@
         cost += self.s.prices.cross_zone * (e.entry.zone != self.s.zone)
         return round(cost, 1) if self.seat else cost, tie
 
+    def _barred(self, e: Node, data_set: int) -> bool:
+        """A load is out there that holds the data set, ours or, as a query stood still there, another's."""
+        return e.held_until.get(data_set, 0.0) > self.now or any(
+            o.query.data_set == data_set and o.cls.holds_data_set for o in e.out.values())
+
     def _survey(self) -> None:
         n, now = self.s.balancers, self.now
         self.up = [e for e in self.nodes.values() if e.entry.state is EngineState.UP]
@@ -403,6 +416,13 @@
         if not (job.ran_at is None or self._repeatable(job)) or job.cls.effect is Effect.UNSAFE or (
                 job.attempts >= self.s.max_attempts or not self._worth(job) or not self._extra_left()):
             return False
+        if job.cls.waits_for_loads and job.query.data_set is not None and len(self.able) > 1:
+            # Guards against standing still behind a load, whosever, until the aim has passed: such a query
+            # does no work there; other engines read its data set as well. What follows keeps away a while.
+            if self.now - job.sent <= max(STILL * (job.aim_at() - job.began), 2 * job.expected):
+                return False
+            e.held_until[job.query.data_set] = self.now + self.hold
+            return True
         if self.s.progress_period:  # its own notes tell; a jam slows a fresh one too
             return job.ends_at - self.now > PATIENCE * job.run * max(1.0, self.pools[job.rank], e.slow)
         return self.alike < 0.5 and self.now - job.sent > PATIENCE * job.expected
@@ -486,6 +506,8 @@
                                     (self.memories[job.rank], ev.memory_mb, job.query.memory_mb)):
             if billed and told:
                 ratio.learn(min(billed, 8 * told), told, KEEP)
+        if job.query.data_set is not None and job.cls.waits_for_loads:
+            e.held_until.pop(job.query.data_set, None)
         e.slow += weight * (slow - e.slow)
         self.pool += weight * (slow - self.pool)
         self.crowd += weight * (slow - self.crowd)  # not fading: its bound leaves work to learn from
--- a/grebeproxy/state.py
+++ b/grebeproxy/state.py
@@ -45,6 +45,7 @@
         self.granted = 0.0
         self.reported = 0.0  # share of its memory that the engine last said is granted, fading
         self.warm: dict[int, None] = {}  # data sets sent here, the latest last
+        self.held_until: dict[int, float] = {}  # data sets that loads are taken to hold here
         self.slow = self.best = 1.0  # latency over run time: lately, and at best
         self.lag = 0.0  # the same of what is still out
         self.heard = self.full_until = 0.0
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from conftest import LOAD, LONG, SHORT, Gateway, finals, make_settings, sends
+from dataclasses import replace
+
+from conftest import LOAD, LONG, SHORT, Gateway, cancels, finals, make_settings, sends
 
 from grebeproxy import Settings
 from grebeproxy.interface import AttemptEnded, Outcome, Query
@@ -174,3 +176,29 @@
         return log
     assert play() == play()
     assert LONG.threads > LOAD.threads
+
+
+def waiting() -> Gateway:
+    """Two engines; a query that waits for loads is out, and its first engine."""
+    short = replace(SHORT, waits_for_loads=True)
+    gateway = Gateway(make_settings(classes=(short, LONG, LOAD)))
+    for node in gateway.choice.nodes.values():
+        node.warm[7] = None
+    return gateway
+
+
+def test_short_work_keeps_away_from_the_engine_whose_load_holds_its_data_set() -> None:
+    gateway = waiting()
+    load = sends(gateway.ask("load", wait=20.0, data_set=7))[0]
+    for _ in range(3):  # also when that engine has fewer of our threads
+        assert sends(gateway.ask("short", data_set=7))[0].engine != load.engine
+
+
+def test_short_work_that_stands_still_goes_elsewhere_and_what_follows_keeps_away() -> None:
+    gateway = waiting()
+    first = sends(gateway.ask("short", data_set=7, work=0.01))[0]
+    assert cancels(gateway.sweep(gateway.now + 0.2)) == []
+    assert [c.id for c in cancels(gateway.sweep(gateway.now + 0.2))] == [first.id]
+    again = sends(gateway.end(first, Outcome.CANCELLED))
+    assert [a.engine != first.engine for a in again] == [True]
+    assert sends(gateway.ask("short", data_set=7, work=0.01))[0].engine == again[0].engine
