--- a/examples/ask.py
+++ b/examples/ask.py
@@ -25,11 +25,12 @@
     with socket.create_connection((host, int(port)), timeout=10) as connection:
         connection.sendall(msgpack.packb([0, 1, cls, [fields, statement.encode()]]))
         unpacker = msgpack.Unpacker()
-        while True:
-            unpacker.feed(connection.recv(65536))
+        while data := connection.recv(65536):
+            unpacker.feed(data)
             for _, _, error, result in unpacker:
                 print(result[0].decode() if error is None else f"{error[0]}: {error[1]}", end="\n")
                 return
+    sys.exit("the router closed the connection without an answer")
 
 
 if __name__ == "__main__":
--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -333,7 +333,8 @@
         if len(self.sets) > MOST_SETS:  # guards against statements that name ever new ones
             del self.sets[next(iter(self.sets))]
         if q.work and not self.costs[rank].estimated:  # until answers bill, the mean estimate stands
-            self.usual[rank] += (q.work - self.usual[rank]) / self.seen[rank]
+            # Bounded: one estimate of an hour must not change what is thought of all others.
+            self.usual[rank] += (min(q.work, 8 * self.usual[rank]) - self.usual[rank]) / self.seen[rank]
         work = self.costs[rank].correct(q.work) if q.work else self.usual[rank]
         memory = self.memories[rank].correct(q.memory_mb) if q.memory_mb else 0.0
         job = self.jobs[q.id] = Job(q, cls, rank, began, max(work, 1e-4), memory)
--- a/grebeproxy/net/msgpack_rpc.py
+++ b/grebeproxy/net/msgpack_rpc.py
@@ -22,7 +22,9 @@
            (0, 0, 0), (5, 0, 0), (9, 0, 0), (2, 0, 0), (3, 0, 0), (5, 0, 0), (9, 0, 0), (2, 0, 0), (3, 0, 0),
            (5, 0, 0), (9, 0, 0), (0, 0, 0), (0, 0, 0), (0, 0, 0), (0, 0, 0), (0, 0, 0), (2, 1, 0), (3, 2, 0),
            (5, 4, 0), (3, 2, 1), (5, 4, 1), (3, 2, 2), (5, 4, 2))
-MOST_WAIT_MS = 3_600_000.0
+MOST_MS, MOST_ID = 3_600_000.0, 2 ** 32 - 1
+# float() alone would also take "nan", "1_0", " 1" and digits of other scripts.
+FIGURE = re.compile(r"[0-9]{1,12}(\.[0-9]{1,20})?([eE][-+]?[0-9]{1,2})?")
 TXN = re.compile(r"[0-9a-fA-F]{16}")
 # What engines are told of: a comma or an equals sign would end the field there.
 TOKEN = re.compile(r"[^,=\s\x00-\x1f]{1,64}")
@@ -38,6 +40,7 @@
     def __init__(self, settings: Settings) -> None:
         self._effects = {cls.name: cls.effect for cls in settings.classes}
         self._tenants = {tenant.name for tenant in settings.tenants}
+        self._most_mb = max(kind.memory_mb for kind in settings.kinds) or 1e6
         self._buffer = bytearray()
         self._at, self._left = 0, 1  # so much of a message is read, and so many values of it are to come
         self._items = 0
@@ -97,6 +100,8 @@
 
     def _message(self, message: object) -> FromClient:
         match message:
+            case [int(), int(msg), *_] if not 0 <= msg <= MOST_ID:
+                raise ValueError("a message id that cannot be")
             case [int(kind), str("giveUp"), [int(msg)]] if kind == NOTIFICATION:
                 return GiveUp(msg)
             case [int(kind), int(msg), str("probe"), list()] if kind == REQUEST:
@@ -113,11 +118,11 @@
         try:
             return Call(
                 msg, txn=_text(fields, "txn", TXN.fullmatch), cls=self._class(cls),
-                limit=_number(fields, "limit", MOST_WAIT_MS) / 1000, body=body,
+                limit=_number(fields, "limit") / 1000, body=body,
                 tenant=self._tenant(fields), resent=_optional(fields, "second", _any) == "1",
                 token=self._token(cls, fields),
                 work=_number(fields, "cpu") / 1000 if "cpu" in fields else None,
-                memory_mb=_number(fields, "mb") if "mb" in fields else None,
+                memory_mb=_number(fields, "mb", self._most_mb) if "mb" in fields else None,
                 key=_optional(fields, "item", TOKEN.fullmatch), data_set=table_group(body))
         except _FieldError as error:
             return Invalid(msg, error.args[0])
@@ -157,12 +162,9 @@
     return _text(fields, name, fits) if name in fields else None
 
 
-def _number(fields: dict[Any, Any], name: str, most: float = 1e12) -> float:
-    try:
-        value = float(_text(fields, name, _any))
-    except ValueError:
-        raise _FieldError(name) from None
-    if not (math.isfinite(value) and 0 <= value <= most) or (name == "limit" and not value):
+def _number(fields: dict[Any, Any], name: str, most: float = MOST_MS) -> float:
+    value = float(_text(fields, name, FIGURE.fullmatch))
+    if value > most or (name == "limit" and not value):
         raise _FieldError(name)
     return value
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -70,3 +70,16 @@
     answers = [line for line in played if " c1 < " in line]
     assert len(answers) == 44  # the last of them passes 2 MiB
     assert any(line.endswith(" c1 hangup") for line in played[played.index(answers[-1]):][:3])
+
+
+HUNDREDS = "".join(map(asked, range(1, 200)))
+TAKEN_BACK = "".join(to_text(msgpack.packb([2, "giveUp", [number]])) for number in range(1, 200))
+NO_FIGURE = to_text(msgpack.packb([0, 1, "report", [{"txn": "0" * 16, "limit": "1_0", "team": "city"}, b""]]))
+
+
+@pytest.mark.parametrize("sent", [
+    HUNDREDS, HUNDREDS + TAKEN_BACK, NO_FIGURE * 8, to_text(b"\x94\x00\xff\xa5probe\x91\x80")])
+def test_a_client_that_sends_too_much_is_closed_on_and_nothing_of_it_reaches_an_engine(sent: str) -> None:
+    played = play(f"10 c1 > {sent}\n300 c1 wait").splitlines()
+    assert "10 c1 hangup" in played
+    assert not any(" L1 " in line for line in played)
