Judge engines by what is theirs: no blame for bad queries or for standing still

Ruled out: connects (no 'proven'), resets. At fault: Choice._judge counted every error at once; Choice._sweep took any query's patience for a silent engine. Now an error counts once another engine has answered the query, or at once where it is not tried again; what waits for loads makes an engine suspect only as the fourth in a row that stood still with nothing heard between.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -28,6 +28,7 @@
 KEEP = 0.98  # weight kept by earlier bills at each new one
 BARRED = 2.0  # threads per core that a load which holds the data set is worth to what waits for loads
 HOLD = 1.0  # part of a load's usual run for which its data set is taken to be held where one stood still
+STILLS = 4  # queries in a row that stood still at an engine, and nothing heard of it, make it suspect
 STILL = 0.3  # part of its aim after which such a query is taken to stand still
 PROBES = 3  # engines probed before a long query goes to one of them
 MOST_SETS = 1024  # data sets of which it is known that they are asked for
@@ -390,9 +391,11 @@
 
     def _sweep(self) -> None:
         """On the timer: silent engines, what has lost its worth, and what is too much to hold."""
-        for e in [e for e in self.nodes.values() if e.out]:
-            silent = (self.now - max(e.heard, j.sent) > j.patience for j in e.out.values())
-            if e.ejected_at is None and any(silent):
+        for e in [e for e in self.nodes.values() if e.out or e.still]:
+            # What may stand still behind a load tells nothing by itself, several of it in a row do.
+            silent = (self.now - max(e.heard, j.sent) > j.patience for j in e.out.values()
+                      if not j.cls.waits_for_loads)
+            if e.ejected_at is None and (any(silent) or e.still >= STILLS):
                 self._eject(e)
             for job in list(e.out.values()) if self.s.may_cancel else ():
                 if not job.answered and not job.cls.late_share and self.now > job.aim_at(2.0):
@@ -423,6 +426,7 @@
             if self.now - job.sent <= max(STILL * (job.aim_at() - job.began), 2 * job.expected):
                 return False
             e.held_until[job.query.data_set] = self.now + self.hold
+            e.still += 1
             return True
         if self.s.progress_period:  # its own notes tell; a jam slows a fresh one too
             return job.ends_at - self.now > PATIENCE * job.run * max(1.0, self.pools[job.rank], e.slow)
@@ -467,21 +471,36 @@
                 job.cancelled = True
                 self.out.append(Cancel(job.id, job.attempts - 1))
 
+    def _count(self, e: Node, bad: bool) -> None:
+        """Take one outcome into the share of faults, the engine's and the fleet's."""
+        e.faults += 0.25 * (bad - e.faults)
+        self.faults += 0.02 * (bad - self.faults)
+
     def _judge(self, e: Node, job: Job, ev: AttemptEnded) -> None:
         """Learn from an outcome: faults, speed, cost and memory."""
         ok = ev.outcome is Outcome.OK
         # A time-out at an engine that has answered others since is load, not a fault of the engine.
         bad = ev.outcome in BAD and (ev.outcome is not Outcome.TIMEOUT or e.heard <= job.sent)
         if ok or ev.outcome in (Outcome.ERROR, Outcome.FULL):
-            e.heard = self.now
+            e.heard, e.still = self.now, 0
         if ev.outcome is Outcome.FULL:
             # Guards against an engine that refuses at once (full, or draining before the list says so) and
             # would look idle for it: nothing goes there for a doubling while, the bound binds for longer.
             e.shut = min(self.tight.aim, 2 * e.shut) or self.pause
             e.shut_until, e.full_until = self.now + e.shut, self.now + e.shut + self.tight.aim
+        # Guards against queries that no engine can use, as bad clients send them: an error counts against its
+        # engine once another has answered the query, or at once where the query is not tried again.
+        first, job.erred = job.erred, None
+        if ev.outcome is Outcome.ERROR and e.ejected_at is None and not job.answered:
+            if first is None and self._repeatable(job) and job.attempts < self.s.max_attempts:
+                job.erred = e
+            bad = bad and job.erred is None and first in (None, e)
+        elif ok and first is not None and first is not e:
+            self._count(first, True)
+            if first.faults > FAULTY + 2 * self.faults:
+                self._eject(first)
         if bad or ok:
-            e.faults += 0.25 * (bad - e.faults)
-            self.faults += 0.02 * (bad - self.faults)
+            self._count(e, bad)
         if ev.outcome is Outcome.CONNECT_FAILED:
             e.unreachable = True
             self._eject(e, proven=True)
--- a/grebeproxy/state.py
+++ b/grebeproxy/state.py
@@ -27,6 +27,7 @@
         self.ran_at: float | None = None  # when the first attempt that may have run was sent, and where to
         self.ran_on: Node | None = None
         self.avoid: Node | None = None
+        self.erred: Node | None = None  # where the last attempt ended in an error
         self.asked_at: float | None = None  # when engines were probed for it, and which
         self.asked: list[Node] = []
 
@@ -46,6 +47,7 @@
         self.reported = 0.0  # share of its memory that the engine last said is granted, fading
         self.warm: dict[int, None] = {}  # data sets sent here, the latest last
         self.held_until: dict[int, float] = {}  # data sets that loads are taken to hold here
+        self.still = 0  # queries that stood still here since it was last heard
         self.slow = self.best = 1.0  # latency over run time: lately, and at best
         self.lag = 0.0  # the same of what is still out
         self.heard = self.full_until = 0.0
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -7,6 +7,7 @@
 from conftest import LONG, SHORT, Gateway, cancels, finals, make_settings, sends
 
 from grebeproxy import Settings
+from grebeproxy.choice import STILLS
 from grebeproxy.interface import Kind, Outcome, Overbooked, Progress, ProgressKind, SetTerms, Tenant
 
 
@@ -185,3 +186,39 @@
         gateway.ask(work=0.1, tenant="a", wait=3.0, resent=True)
     gateway.ask(work=0.1, tenant="a", id="second")
     assert not gateway.choice.jobs["second"].over_share
+
+
+def test_errors_of_queries_that_no_engine_can_use_eject_nobody() -> None:
+    gateway = Gateway(make_settings(), engines=3)
+    for number in range(30):
+        [send] = sends(gateway.ask(id=f"bad{number}"))
+        while again := sends(gateway.end(send, Outcome.ERROR)):
+            [send] = again
+    assert all(node.ejected_at is None for node in gateway.choice.nodes.values())
+
+
+def test_errors_of_queries_that_another_engine_answers_eject() -> None:
+    gateway = Gateway(make_settings(), engines=3)
+    [send] = sends(gateway.ask())
+    faulty = send.engine
+    for _ in range(4):
+        while send.engine == faulty:
+            [send] = sends(gateway.end(send, Outcome.ERROR))
+        gateway.end(send, Outcome.OK)
+        [send] = sends(gateway.ask())
+    assert gateway.choice.nodes[faulty].ejected_at is not None
+
+
+def test_one_query_that_stands_still_ejects_nobody_several_in_a_row_do() -> None:
+    gateway = Gateway(make_settings(classes=(replace(SHORT, waits_for_loads=True), LONG)), engines=3)
+    node = gateway.choice.nodes["e0"]
+    for number in range(STILLS):
+        assert node.ejected_at is None
+        node.warm[number] = None  # draws the query here
+        [send] = sends(gateway.ask(data_set=number, work=0.01))
+        assert send.engine == "e0"
+        assert [c.id for c in cancels(gateway.sweep(gateway.now + 0.35))] == [send.id]
+        [again] = sends(gateway.end(send, Outcome.CANCELLED, 0.35))
+        gateway.end(again, Outcome.OK, 0.01)
+    gateway.sweep(gateway.now + 0.01)
+    assert node.ejected_at is not None
