Take a lookup for standing still only beyond three of its expected run times

Seen on wide+reset+stale: 40% of the attempts called off, on engines that were slow (median 108 ms, 37 at ease), where a fresh attempt is slow as well. Choice._stuck compared with twice the expected time.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -29,6 +29,7 @@
 BARRED = 2.0  # threads per core that a load which holds the data set is worth to what waits for loads
 HOLD = 1.0  # part of a load's usual run for which its data set is taken to be held where one stood still
 STILLS = 4  # queries in a row that stood still at an engine, and nothing heard of it, make it suspect
+OVER = 3.0  # and so many expected run times: where engines are slow a fresh attempt would be as well
 STILL = 0.3  # part of its aim after which such a query is taken to stand still
 PROBES = 3  # engines probed before a long query goes to one of them
 MOST_SETS = 1024  # data sets of which it is known that they are asked for
@@ -423,7 +424,7 @@
         if job.cls.waits_for_loads and job.query.data_set is not None and len(self.able) > 1:
             # Guards against standing still behind a load, whosever, until the aim has passed: such a query
             # does no work there; other engines read its data set as well. What follows keeps away a while.
-            if self.now - job.sent <= max(STILL * (job.aim_at() - job.began), 2 * job.expected):
+            if self.now - job.sent <= max(STILL * (job.aim_at() - job.began), OVER * job.expected):
                 return False
             e.held_until[job.query.data_set] = self.now + self.hold
             e.still += 1
