--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -569,8 +569,9 @@
         for attempt in list(link.attempts.values()):
             if not attempt.written:
                 self._end(attempt, api.Outcome.CONNECT_FAILED)
-            elif not attempt.stopped:
-                # Guards against a next attempt, or the next in order, that is there before our closing is.
+            else:
+                # Guards against a next attempt, or the next in order, that is there before our closing is. One
+                # that was stopped already ends here too: with part of it unsent, nothing else would end it.
                 attempt.stopped = True
                 self._detach(attempt)
                 self._at(self.now + SETTLE, self._end, attempt, api.Outcome.RESET)
