Name twice-written checks once and drop an unread field; behaviour unchanged

Choice._cost and _barred both looked for our load on a data set (now _loading), _judge compared faults twice (now _faulty); admission.Client.opened was never read; LinkPartial is LinkBegun, as ClientBegun is its twin.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -167,8 +167,7 @@
             cost += COLD_SET * alike * (data_set not in e.warm)
             if job.cls.waits_for_loads and self._barred(e, data_set):
                 cost += BARRED
-            if job.cls.holds_data_set and any(
-                    o.query.data_set == data_set and o.cls.holds_data_set for o in e.out.values()):
+            if job.cls.holds_data_set and self._loading(e, data_set):
                 cost += 2.0  # it would stand still until the other load ends
         if e.memory:
             granted = e.granted + (n - 1) * (alike * e.granted + mean * self.granted)
@@ -180,8 +179,11 @@
 
     def _barred(self, e: Node, data_set: int) -> bool:
         """A load is out there that holds the data set, ours or, as a query stood still there, another's."""
-        return e.held_until.get(data_set, 0.0) > self.now or any(
-            o.query.data_set == data_set and o.cls.holds_data_set for o in e.out.values())
+        return e.held_until.get(data_set, 0.0) > self.now or self._loading(e, data_set)
+
+    def _loading(self, e: Node, data_set: int) -> bool:
+        """A load of ours is out there that holds the data set."""
+        return any(o.query.data_set == data_set and o.cls.holds_data_set for o in e.out.values())
 
     def _survey(self) -> None:
         n, now = self.s.balancers, self.now
@@ -477,6 +479,10 @@
         e.faults += 0.25 * (bad - e.faults)
         self.faults += 0.02 * (bad - self.faults)
 
+    def _faulty(self, e: Node) -> bool:
+        """Its share of faults stands out from the fleet's."""
+        return e.faults > FAULTY + 2 * self.faults
+
     def _judge(self, e: Node, job: Job, ev: AttemptEnded) -> None:
         """Learn from an outcome: faults, speed, cost and memory."""
         ok = ev.outcome is Outcome.OK
@@ -498,14 +504,14 @@
             bad = bad and job.erred is None and first in (None, e)
         elif ok and first is not None and first is not e:
             self._count(first, True)
-            if first.faults > FAULTY + 2 * self.faults:
+            if self._faulty(first):
                 self._eject(first)
         if bad or ok:
             self._count(e, bad)
         if ev.outcome is Outcome.CONNECT_FAILED:
             e.unreachable = True
             self._eject(e, proven=True)
-        elif bad and (e.faults > FAULTY + 2 * self.faults or e.ejected_at is not None):
+        elif bad and (self._faulty(e) or e.ejected_at is not None):
             self._eject(e)
         # Weighted by run time: short queries have priority in the engine and tell little of its crowding.
         run = ev.work / job.cls.threads if ev.work else job.run
--- a/grebeproxy/net/admission.py
+++ b/grebeproxy/net/admission.py
@@ -44,7 +44,6 @@
     """A client's connection, and the requests that are open on it, by their numbers."""
 
     conn: int
-    opened: float
     quiet: float  # since when it has neither asked nor been answered
     asked: bool = False
     begun: float | None = None  # since when a message has begun and is not whole
--- a/grebeproxy/net/events.py
+++ b/grebeproxy/net/events.py
@@ -79,7 +79,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LinkPartial:
+class LinkBegun:
     """An engine's answer has begun and is not whole."""
 
     link: int
@@ -116,7 +116,7 @@
     """The router is to finish what it has and end."""
 
 
-LinkEvent = Union[LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid, LinkPartial]
+LinkEvent = Union[LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid, LinkBegun]
 Event = Union[ClientOpened, ClientBegun, ClientSaid, ClientClosed, LinkEvent, LogSaid, LogClosed, Woken,
               Reloaded, StopAsked]
 
--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -18,7 +18,7 @@
 from grebeproxy.net import admission, follower
 from grebeproxy.net.events import (
     Address, Answer, ClientBegun, ClientClosed, ClientOpened, ClientSaid, CloseClient, CloseLink, Effect,
-    Event, Exit, LinkClosed, LinkEvent, LinkOpened, LinkPartial, LinkPaused, LinkResumed, LinkSaid, LogClosed,
+    Event, Exit, LinkClosed, LinkEvent, LinkOpened, LinkBegun, LinkPaused, LinkResumed, LinkSaid, LogClosed,
     LogSaid, Note, OpenLink, Reloaded, StopAsked, StopListening, Wake, Woken, Write)
 from grebeproxy.net.messages import (
     Call, End, EngineAnswer, Failed, Fetch, FromClient, GiveUp, Invalid, News, Ping, Pong, Refused, Run,
@@ -90,7 +90,7 @@
     idle_since: float
     up: bool = False
     paused: bool = False
-    partial: float | None = None  # since when an answer has begun and is not whole
+    begun: float | None = None  # since when an answer has begun and is not whole
     retired: bool = False  # takes no further attempts and ends with its last
     attempts: dict[str, Attempt] = field(default_factory=dict)
     unsent: list[Attempt] = field(default_factory=list)  # written last, and not sent whole while paused
@@ -200,7 +200,7 @@
                     client.begun = self.now
             case ClientClosed(conn):
                 self._leave(conn)
-            case LinkOpened() | LinkClosed() | LinkPaused() | LinkResumed() | LinkSaid() | LinkPartial():
+            case LinkOpened() | LinkClosed() | LinkPaused() | LinkResumed() | LinkSaid() | LinkBegun():
                 # One that crossed our closing names no connection that is left.
                 if (link := self._links.get(event.link)) is not None:
                     self._on_link(link, event)
@@ -235,12 +235,12 @@
     def _on_link(self, link: Link, event: LinkEvent) -> None:
         match event:
             case LinkSaid(_, answer):
-                link.partial = None
+                link.begun = None
                 self._heard(link, answer)
-            case LinkPartial():
-                if link.partial is None:
-                    link.partial = self.now
-                    self._at(self.now + STOPPED_SHORT, self._check_partial, link, self.now)
+            case LinkBegun():
+                if link.begun is None:
+                    link.begun = self.now
+                    self._at(self.now + STOPPED_SHORT, self._check_begun, link, self.now)
             case LinkOpened():
                 link.up = True
                 self._flush(link)
@@ -260,7 +260,7 @@
             self._hang_up(conn if victim is None else victim)
             if victim is None:
                 return
-        self._clients[conn] = admission.Client(conn, self.now, self.now)
+        self._clients[conn] = admission.Client(conn, self.now)
         if not self._sweeping:
             self._sweeping = True
             self._at(self.now + admission.SWEEP, self._sweep)
@@ -506,9 +506,9 @@
         self._at(self.now + IDLE_SHARE * self.limits.idle_timeout, self._check_idle, link)
         return link
 
-    def _check_partial(self, link: Link, since: float) -> None:
+    def _check_begun(self, link: Link, since: float) -> None:
         """Guards against answers that stop short or do not end: nothing that is behind them can come."""
-        if link.partial == since and link.id in self._links:
+        if link.begun == since and link.id in self._links:
             self._effects.append(Note(f"engine {link.engine}: an answer that stopped short"))
             self._drop(link)
 
@@ -570,8 +570,8 @@
             if not attempt.written:
                 self._end(attempt, api.Outcome.CONNECT_FAILED)
             else:
-                # Guards against a next attempt, or the next in order, that is there before our closing is. One
-                # that was stopped already ends here too: with part of it unsent, nothing else would end it.
+                # Guards against a next attempt, or the next in order, that is there before our closing is.
+                # One that was stopped with a part unsent ends here too: nothing else would end it.
                 attempt.stopped = True
                 self._detach(attempt)
                 self._at(self.now + SETTLE, self._end, attempt, api.Outcome.RESET)
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -197,7 +197,7 @@
 
     def begun(self) -> list[events.Event]:
         """A part of an answer."""
-        return [events.LinkPartial(self.number)]
+        return [events.LinkBegun(self.number)]
 
     def closed(self, reason: str) -> events.Event:
         """The connection is gone."""
