Count a connection's end as one fault, and eject for silence only where it is long

Its causes, by line: in _judge each of the attempts that one ended connection took counted as a fault, so that one reset ejected a healthy engine and each further one doubled its wait; in _sweep four lookups that stood still behind loads ejected an engine heard 0.08 to 0.6 s ago, and a short report's patience of 0.4 of its aim did so after 0.37 s. Each ejection also called off what ran there.

Now a connection's end counts once; what was out before an ejection does not lengthen it; silence must last 0.8 of an aim, and behind lookups that stood still twice the tightest aim; a new engine is not silent since time began.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -23,12 +23,14 @@
 PRESSURE = 1.4  # an engine shows pressure when its latency is this many times its best
 COLD_SET = 0.75  # threads per core that a data set read afresh is worth in the choice of engine
 COLD_MARGIN = 0.75  # part of the cold budget that is used: what others send and true sizes are unknown
+HUSH = 0.8  # part of its aim for which an attempt may hear nothing of its engine, however short it is
 PATIENCE = 4.0  # an engine that has been silent for this many expected run times is suspect
 FAULTY = 0.3  # share of failing attempts, above twice the fleet's own, that ejects an engine
 KEEP = 0.98  # weight kept by earlier bills at each new one
 BARRED = 2.0  # threads per core that a load which holds the data set is worth to what waits for loads
 HOLD = 1.0  # part of a load's usual run for which its data set is taken to be held where one stood still
 STILLS = 4  # queries in a row that stood still at an engine, and nothing heard of it, make it suspect
+MUTE = 2.0  # and the silence, in aims of the tightest class: loads can hold all that is asked of an engine
 OVER = 3.0  # and so many expected run times: where engines are slow a fresh attempt would be as well
 STILL = 0.3  # part of its aim after which such a query is taken to stand still
 PROBES = 3  # engines probed before a long query goes to one of them
@@ -251,7 +253,7 @@
         cls, s = job.cls, self.s
         job.expected = job.run * max(1.0, e.slow)
         patience = min(PATIENCE * job.expected, 2.2 * (s.progress_period or cls.deadline))
-        job.patience = max(0.4 * cls.aim, patience)
+        job.patience = max(HUSH * cls.aim, patience)
         if job.attempts:
             if s.rules.attempt_budget is not None:  # without one nobody would clear them away
                 self.extra.add(self.now)
@@ -398,7 +400,8 @@
             # What may stand still behind a load tells nothing by itself, several of it in a row do.
             silent = (self.now - max(e.heard, j.sent) > j.patience for j in e.out.values()
                       if not j.cls.waits_for_loads)
-            if e.ejected_at is None and (any(silent) or e.still >= STILLS):
+            if e.ejected_at is None and (
+                    any(silent) or (e.still >= STILLS and self.now - e.heard > MUTE * self.tight.aim)):
                 self._eject(e)
             for job in list(e.out.values()) if self.s.may_cancel else ():
                 if not job.answered and not job.cls.late_share and self.now > job.aim_at(2.0):
@@ -488,6 +491,10 @@
         ok = ev.outcome is Outcome.OK
         # A time-out at an engine that has answered others since is load, not a fault of the engine.
         bad = ev.outcome in BAD and (ev.outcome is not Outcome.TIMEOUT or e.heard <= job.sent)
+        if ev.outcome is Outcome.RESET:
+            # One connection that ends takes all that was out on it: one fault, not as many as were out.
+            bad = job.sent > e.broke_at
+            e.broke_at = self.now if bad else e.broke_at
         if ok or ev.outcome in (Outcome.ERROR, Outcome.FULL):
             e.heard, e.still = self.now, 0
         if ev.outcome is Outcome.FULL:
@@ -511,8 +518,8 @@
         if ev.outcome is Outcome.CONNECT_FAILED:
             e.unreachable = True
             self._eject(e, proven=True)
-        elif bad and (self._faulty(e) or e.ejected_at is not None):
-            self._eject(e)
+        elif bad and (self._faulty(e) if e.ejected_at is None else job.sent > e.ejected_at):
+            self._eject(e)  # again only for a trial that failed, not for what was out before
         # Weighted by run time: short queries have priority in the engine and tell little of its crowding.
         run = ev.work / job.cls.threads if ev.work else job.run
         weight, slow = min(0.5, max(0.02, run / self.tight.aim / 4)), min(10.0, ev.latency / max(run, 1e-4))
@@ -557,7 +564,7 @@
             if node is None:
                 kind = next((k for k in self.s.kinds if k.name == entry.kind), self.s.kinds[0])
                 node = self.nodes[entry.id] = Node(entry, kind.cores, kind.memory_mb)
-                node.slow = self.pool
+                node.slow, node.heard = self.pool, self.now
             if entry.started is not None and entry.started > (node.cold_since or 0.0):
                 node.cold_since, node.trial_at = entry.started, self.now  # a new process is tried at once
                 node.warm.clear()
--- a/grebeproxy/state.py
+++ b/grebeproxy/state.py
@@ -53,6 +53,7 @@
         self.heard = self.full_until = 0.0
         self.shut = self.shut_until = 0.0  # after full refusals
         self.faults = 0.0
+        self.broke_at = -1.0  # when a connection that ended was last counted against it
         self.ejected_at: float | None = None
         self.trial_at = self.backoff = 0.0
         self.unreachable = False
