Keep loads of a data set to engines all gateways agree on, and lookups away from them

Of the loads of one key, and so often of one data set, all come to one router, so own loads do not tell what others send.

Now each router orders the engines by a hash for each data set; as many of the first as the loads need (their share of all queries times the work of loads) take the loads, and lookups keep away from these. With one router nothing is unseen, and loads spread as before. What an own load holds counts 6 threads per core.

CRC for the order is not even between data sets.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -8,6 +8,7 @@
 
 import zlib
 from functools import partial
+from hashlib import blake2b
 from math import exp
 from random import Random
 
@@ -15,7 +16,7 @@
     Action, AttemptEnded, Cancel, Effect, Engine, EngineList, EngineState, Event, Fail, Gone, ListKind,
     Outcome, Overbooked, Probe, Probed, Progress, ProgressKind, Query, Refuse, Scope, Send, SetTerms,
     Settings, SetTimer, TimerFired, Watch)
-from grebeproxy.state import Books, Bucket, Job, Node
+from grebeproxy.state import Books, Bucket, Flow, Job, Node
 
 FLOOR, GAP_MARGIN = 1.0, 1.5  # base priority; full-load gap between neighbours, in deadlines of urgency
 LOW, HIGH = 0.05, 0.5  # held queries per core of ours at which the gap starts and is full
@@ -27,7 +28,10 @@
 PATIENCE = 4.0  # an engine that has been silent for this many expected run times is suspect
 FAULTY = 0.3  # share of failing attempts, above twice the fleet's own, that ejects an engine
 KEEP = 0.98  # weight kept by earlier bills at each new one
-BARRED = 2.0  # threads per core that a load which holds the data set is worth to what waits for loads
+BARRED = 6.0  # threads per core that a load which holds the data set is worth to what waits for loads
+HOME_FILL = 0.9  # part of the time that loads hold a data set at each of its home engines
+HOMES_OVER = 15.0  # seconds over which the loads of a data set are counted
+AWAY = 7.0  # threads per core that each place beyond the home engines is worth to a load
 HOLD = 1.0  # part of a load's usual run for which its data set is taken to be held where one stood still
 STILLS = 4  # queries in a row that stood still at an engine, and nothing heard of it, make it suspect
 MUTE = 2.0  # and the silence, in aims of the tightest class: loads can hold all that is asked of an engine
@@ -60,6 +64,7 @@
         # So long what stood still behind one keeps others away.
         runs = (u / c.threads for u, c in zip(self.usual, order, strict=True) if c.holds_data_set)
         self.hold = HOLD * max(runs, default=0.0)
+        self.asked, self.loads = Flow(now, HOMES_OVER), Flow(now, HOMES_OVER)  # queries, and runs of loads
         self.pause = max(settings.tick, self.tight.aim / 16)
         self.watch_at = now if settings.asks_for_list else float("inf")
 
@@ -167,10 +172,14 @@
         cost = threads / e.cores * slow + (e is job.avoid)
         if data_set is not None:
             cost += COLD_SET * alike * (data_set not in e.warm)
-            if job.cls.waits_for_loads and self._barred(e, data_set):
-                cost += BARRED
-            if job.cls.holds_data_set and self._loading(e, data_set):
-                cost += 2.0  # it would stand still until the other load ends
+            homes, places = self._homes(data_set)
+            place, unseen = places.get(e.entry.id, len(places)), 1.0 - 1.0 / n
+            if job.cls.waits_for_loads:
+                # What others' loads hold is not told: it is taken for held as likely as they are there.
+                home = min(1.0, max(0.0, homes - place))
+                cost += BARRED * (1.0 if self._barred(e, data_set) else unseen * HOME_FILL * home)
+            if job.cls.holds_data_set:  # it would stand still until the other loads end
+                cost += 2.0 * self._loading(e, data_set) + AWAY * unseen * max(0.0, place + 1.0 - homes)
         if e.memory:
             granted = e.granted + (n - 1) * (alike * e.granted + mean * self.granted)
             cost += 4.0 * max(0.0, max(e.reported, granted / e.memory) + job.memory / e.memory - 0.9)
@@ -181,16 +190,33 @@
 
     def _barred(self, e: Node, data_set: int) -> bool:
         """A load is out there that holds the data set, ours or, as a query stood still there, another's."""
-        return e.held_until.get(data_set, 0.0) > self.now or self._loading(e, data_set)
+        return e.held_until.get(data_set, 0.0) > self.now or self._loading(e, data_set) > 0
 
-    def _loading(self, e: Node, data_set: int) -> bool:
-        """A load of ours is out there that holds the data set."""
-        return any(o.query.data_set == data_set and o.cls.holds_data_set for o in e.out.values())
+    def _loading(self, e: Node, data_set: int) -> int:
+        """Loads of ours that are out there and hold the data set, or wait for it."""
+        return sum(o.query.data_set == data_set and o.cls.holds_data_set for o in e.out.values())
+
+    def _homes(self, data_set: int) -> tuple[float, dict[str, int]]:
+        """How many engines the loads of a data set need, over all gateways, and the engines' places for it.
+
+        Departure: loads of a data set keep to the engines that come first in an order all gateways agree on,
+        and what would stand still behind them goes to the others. Nobody is told of others' loads.
+        """
+        if data_set not in self.homes:
+            # By all queries, as those of one key, and so most loads of a data set, come to one gateway.
+            asked = self.sets[data_set].rate(self.now) if data_set in self.sets else 0.0
+            part = asked / (self.asked.rate(self.now) or 1.0)
+            need = part * self.loads.rate(self.now) * self.s.balancers / HOME_FILL
+            order = sorted(self.able, key=lambda e: blake2b(f"{data_set}/{e.entry.id}".encode()).digest())
+            places = {e.entry.id: place for place, e in enumerate(order)}
+            self.homes[data_set] = min(need, max(0.0, len(order) - 1.0)), places  # one for what waits
+        return self.homes[data_set]
 
     def _survey(self) -> None:
         n, now = self.s.balancers, self.now
         self.up = [e for e in self.nodes.values() if e.entry.state is EngineState.UP]
         able = self.able = [e for e in self.up if e.ejected_at is None]
+        self.homes.clear()
         self.cores = sum(e.cores for e in able) / n or 1.0
         self.memory = sum(e.memory for e in able) / n
         busy = [e for e in able if e.out]
@@ -334,8 +360,10 @@
         if not self.first_left.agrees((q.due - self.now) / cls.deadline, 0.005) or q.resent:
             began = min(began, q.due - cls.deadline)  # a repeat: its aim began with the client's first try
         self.seen[rank] += 1
-        self.sets.pop(q.data_set, None)
-        self.sets[q.data_set] = None
+        known = self.sets.pop(q.data_set, None)
+        flow = self.sets[q.data_set] = known or Flow(self.now, HOMES_OVER)
+        flow.add(self.now, 1.0)
+        self.asked.add(self.now, 1.0)
         if len(self.sets) > MOST_SETS:  # guards against statements that name ever new ones
             del self.sets[next(iter(self.sets))]
         if q.work and not self.costs[rank].estimated:  # until answers bill, the mean estimate stands
@@ -343,6 +371,8 @@
             self.usual[rank] += (min(q.work, 8 * self.usual[rank]) - self.usual[rank]) / self.seen[rank]
         work = self.costs[rank].correct(q.work) if q.work else self.usual[rank]
         memory = self.memories[rank].correct(q.memory_mb) if q.memory_mb else 0.0
+        if cls.holds_data_set:
+            self.loads.add(self.now, min(work, 8 * self.usual[rank]) / cls.threads)
         job = self.jobs[q.id] = Job(q, cls, rank, began, max(work, 1e-4), memory)
         if q.tenant in self.shares:  # a repeat spends nothing: its first try did, or was past the share
             job.over_share = not self.shares[q.tenant].take(self.now, 1.0 if began == self.now else 0.0)
--- a/grebeproxy/state.py
+++ b/grebeproxy/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
+from math import exp
 
 from grebeproxy.interface import Action, Engine, Query, QueryClass
 
@@ -147,6 +148,22 @@
         return self._total if self._items else 0.0
 
 
+class Flow:
+    """How much is added a second, over some time."""
+
+    def __init__(self, now: float, over: float) -> None:
+        self._over, self._began, self._at, self._sum = over, now, now, 0.0
+
+    def add(self, now: float, amount: float) -> None:
+        """Add an amount."""
+        self._sum, self._at = self._sum * exp((self._at - now) / self._over) + amount, now
+
+    def rate(self, now: float) -> float:
+        """The mean of what was added a second; at first over two seconds."""
+        seen = self._over * (1.0 - exp((self._began - now) / self._over))
+        return self._sum * exp((self._at - now) / self._over) / max(2.0, seen)
+
+
 class Bucket:
     """A token bucket."""
 
@@ -190,5 +207,6 @@
         self.costs, self.memories = [Ratio() for _ in range(classes)], [Ratio() for _ in range(classes)]
         self.first_left = Majority()  # part of the deadline that clients' first tries have
         self.faults = 0.0
-        self.sets: dict[int | None, None] = {}  # data sets asked for, the latest last
+        self.sets: dict[int | None, Flow] = {}  # queries by data sets asked for, the latest last
+        self.homes: dict[int, tuple[float, dict[str, int]]] = {}  # home engines by data set, of this moment
         self.taken, self.extra = Window(), Window()  # queries, and attempts beyond a first
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 from conftest import LOAD, LONG, SHORT, Gateway, cancels, finals, make_settings, sends
 
@@ -178,10 +179,13 @@
     assert LONG.threads > LOAD.threads
 
 
+def waiting_settings(**changes: Any) -> Settings:
+    return make_settings(classes=(replace(SHORT, waits_for_loads=True), LONG, LOAD), **changes)
+
+
 def waiting() -> Gateway:
-    """Two engines; a query that waits for loads is out, and its first engine."""
-    short = replace(SHORT, waits_for_loads=True)
-    gateway = Gateway(make_settings(classes=(short, LONG, LOAD)))
+    """Two engines, both of which have read a data set; short queries wait for loads on it."""
+    gateway = Gateway(waiting_settings())
     for node in gateway.choice.nodes.values():
         node.warm[7] = None
     return gateway
@@ -194,6 +198,29 @@
         assert sends(gateway.ask("short", data_set=7))[0].engine != load.engine
 
 
+def test_gateways_keep_loads_of_a_data_set_apart_from_what_would_wait_for_them() -> None:
+    went: dict[tuple[int, str], set[str]] = {}
+    for index in range(3):  # none is told of what the others send
+        gateway = Gateway(waiting_settings(balancers=3, index=index), engines=5)
+        for number in range(90):
+            gateway.now += 0.2
+            data_set = number % 3
+            cls = "load" if number // 3 % 2 else "short"
+            [send] = sends(gateway.ask(cls, wait=4.0, data_set=data_set, work=0.4 if cls == "load" else 0.1))
+            gateway.end(send, Outcome.OK, work=0.4 if cls == "load" else 0.1)
+            if number >= 30:  # by then it has seen how many loads there are
+                went.setdefault((data_set, cls), set()).add(send.engine)
+    for data_set in range(3):
+        assert len(went[data_set, "load"]) == 1
+        assert not went[data_set, "load"] & went[data_set, "short"]
+
+
+def test_a_gateway_that_sees_all_loads_spreads_them() -> None:
+    gateway = Gateway(waiting_settings(), engines=3)
+    loads = [sends(gateway.ask("load", wait=20.0, work=0.4, data_set=7))[0].engine for _ in range(3)]
+    assert len(set(loads)) == 3
+
+
 def test_short_work_that_stands_still_goes_elsewhere_and_what_follows_keeps_away() -> None:
     gateway = waiting()
     first = sends(gateway.ask("short", data_set=7, work=0.01))[0]
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -8,7 +8,7 @@
 ROOT = Path(__file__).parent.parent
 MODULE = ROOT / "grebeproxy" / "choice.py"
 ALLOWED = {
-    "__future__", "zlib", "functools", "math", "random", "statistics",
+    "__future__", "zlib", "functools", "hashlib", "math", "random", "statistics",
     "grebeproxy.interface", "grebeproxy.state"}
 
 
