Call off reports far beyond their expected run: bad plans, drawn anew for each attempt

Now a query that is not a load is called off beyond three expected runs and 0.3 of its aim, as lookups that stand still are; the slowness of its engine lengthens what is expected. Engines whose queries all stand still are still left once they are silent.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -456,17 +456,19 @@
         if not (job.ran_at is None or self._repeatable(job)) or job.cls.effect is Effect.UNSAFE or (
                 job.attempts >= self.s.max_attempts or not self._worth(job) or not self._extra_left()):
             return False
-        if job.cls.waits_for_loads and job.query.data_set is not None and len(self.able) > 1:
-            # Guards against standing still behind a load, whosever, until the aim has passed: such a query
-            # does no work there; other engines read its data set as well. What follows keeps away a while.
-            if self.now - job.sent <= max(STILL * (job.aim_at() - job.began), OVER * job.expected):
-                return False
-            e.held_until[job.query.data_set] = self.now + self.hold
-            e.still += 1
-            return True
         if self.s.progress_period:  # its own notes tell; a jam slows a fresh one too
             return job.ends_at - self.now > PATIENCE * job.run * max(1.0, self.pools[job.rank], e.slow)
-        return self.alike < 0.5 and self.now - job.sent > PATIENCE * job.expected
+        if job.cls.holds_data_set or len(self.able) < 2:  # it may wait for another load
+            return self.alike < 0.5 and self.now - job.sent > PATIENCE * job.expected
+        # Guards against standing still behind a load, whosever, and against bad plans, drawn anew for each
+        # attempt, until the aim has passed; a slow engine lengthens what is expected.
+        expected = job.run * max(1.0, e.slow, self.pool)
+        if self.now - job.sent <= max(STILL * (job.aim_at() - job.began), OVER * expected):
+            return False
+        e.still += 1
+        if job.cls.waits_for_loads and job.query.data_set is not None:
+            e.held_until[job.query.data_set] = self.now + self.hold  # what follows keeps away a while
+        return True
 
     def _ended(self, ev: AttemptEnded) -> None:
         job, e = self.jobs.get(ev.id), self.nodes.get(ev.engine)
