Bound results that are not whole together, forget held data sets, excuse own shortages

Now they are bounded together, by an eighth of what the program leaves free; what goes beyond is given up and tried again. - held_until of an engine kept every data set on which a lookup ever stood still there (_stuck); statements name ever new ones.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -470,7 +470,9 @@
             return False
         e.still += 1
         if job.cls.waits_for_loads and job.query.data_set is not None:
-            e.held_until[job.query.data_set] = self.now + self.hold  # what follows keeps away a while
+            # What follows keeps away a while. Guards the memory: statements name ever new data sets.
+            e.held_until = {held: until for held, until in e.held_until.items() if until > self.now}
+            e.held_until[job.query.data_set] = self.now + self.hold
         return True
 
     def _ended(self, ev: AttemptEnded) -> None:
--- a/grebeproxy/net/admission.py
+++ b/grebeproxy/net/admission.py
@@ -30,13 +30,14 @@
     bodies: int  # bytes of all statements that are open
     begun: int  # bytes of all messages that are not whole
     unsent: int  # bytes of all answers that clients have not read
+    pages: int  # bytes of all results whose pages are not all there
 
 
 def bounds(sockets: int, memory_mb: float) -> Bounds:
     """Half of what the program leaves free is for what peers make it hold; the rest is for working on it."""
     links = max(1, sockets // LINK_SHARE)
     free = int(max(4.0, memory_mb - PROGRAM_MB) / 2 * MB)
-    return Bounds(max(1, sockets - links - SPARE), links, free // 4, free // 4, free // 2)
+    return Bounds(max(1, sockets - links - SPARE), links, free // 4, free // 4, free // 4, free // 4)
 
 
 @dataclass(slots=True)
--- a/grebeproxy/net/events.py
+++ b/grebeproxy/net/events.py
@@ -51,9 +51,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkClosed:
-    """A connection to an engine has ended or could not be made."""
+    """A connection to an engine has ended or could not be made; ``ours`` if this machine lacked something."""
 
     link: int
+    ours: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -118,7 +118,7 @@
         self._bounds = bounds
         self._deadlines = {cls.name: cls.deadline for cls in settings.classes}
         self._requests: dict[str, Request] = {}
-        self._bodies = 0
+        self._bodies = self._paged = 0  # bytes of open statements, and of results that are not whole
         self._clients: dict[int, admission.Client[Request]] = {}
         self._sweeping = False
         self._links: dict[int, Link] = {}
@@ -244,8 +244,8 @@
             case LinkOpened():
                 link.up = True
                 self._flush(link)
-            case LinkClosed():
-                self._drop(link, tell=False)
+            case LinkClosed(_, ours):
+                self._drop(link, tell=False, ours=ours)
             case LinkPaused():
                 link.paused = True
             case LinkResumed():
@@ -441,6 +441,7 @@
         if attempt.link is not None and attempt.written and not settled:
             attempt.request.spent.add(attempt.link.id)  # further pages, or the answer again, may still come
         self._detach(attempt)
+        self._paged -= attempt.size
         attempt.request.out = None
         self._report(attempt, outcome, settled)
         self._forget(attempt.request)
@@ -478,7 +479,9 @@
 
     def _add_page(self, attempt: Attempt, number: int, body: bytes) -> None:
         pages, request = attempt.pages or [], attempt.request
-        attempt.size += len(body) if pages[number] is None else 0
+        added = len(body) if pages[number] is None else 0
+        attempt.size += added
+        self._paged += added
         pages[number] = body
         if attempt.size > MOST_RESULT:
             self._end(attempt, api.Outcome.ERROR)
@@ -486,6 +489,9 @@
             parts = tuple(page for page in pages if page is not None)
             self._answer(request, Served(request.call.msg, parts))
             self._end(attempt, api.Outcome.OK, settled=True)
+        elif self._paged > self._bounds.pages:
+            # Guards the memory against many results that come a page at a time; it is no fault of the engine.
+            self._give_up(attempt, api.Outcome.CANCELLED)
 
     # --- connections to engines
 
@@ -554,8 +560,8 @@
         else:
             self._at(since + IDLE_SHARE * self.limits.idle_timeout, self._check_idle, link)
 
-    def _drop(self, link: Link, tell: bool = True) -> None:
-        """End a connection. What was written to it may have run; what was not never did."""
+    def _drop(self, link: Link, tell: bool = True, ours: bool = False) -> None:
+        """End a connection, or what it lacked was ``ours``. What was written to it may have run."""
         if self._links.pop(link.id, None) is None:
             return
         self._engine_links[link.engine].remove(link)
@@ -567,8 +573,8 @@
         else:
             self._commands.pop(link.id, None)
         for attempt in list(link.attempts.values()):
-            if not attempt.written:
-                self._end(attempt, api.Outcome.CONNECT_FAILED)
+            if not attempt.written:  # it never ran
+                self._end(attempt, api.Outcome.FULL if ours else api.Outcome.CONNECT_FAILED)
             else:
                 # Guards against a next attempt, or the next in order, that is there before our closing is.
                 # One that was stopped with a part unsent ends here too: nothing else would end it.
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import logging
 import math
@@ -33,6 +34,7 @@
              (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 30),
              (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 10), (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3))
 GC_THRESHOLDS = (20_000, 20, 50)  # few collections, each of them short: what start-up made is left out
+SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 EXIT_GRACE = 2.0  # seconds to send what is written when all is answered
 
 
@@ -55,6 +57,7 @@
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.ended = False  # the router knows of the end, or asked for it
+        self.ours = False  # it could not be made for want of something on this machine
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, or end it where it was given up meanwhile."""
@@ -202,7 +205,7 @@
     def closed(self, reason: str) -> events.Event:
         """The connection is gone."""
         self.runtime.links.pop(self.number, None)
-        return events.LinkClosed(self.number)
+        return events.LinkClosed(self.number, self.ours)
 
     def pause_writing(self) -> None:
         """The last write is not sent whole."""
@@ -435,6 +438,8 @@
         try:
             await loop.create_connection(lambda: connection, *address)
         except OSError as error:  # refused, unreachable, or no descriptor is left
+            # Guards engines against being taken for down because this machine is short of something.
+            connection.ours = error.errno in SHORTAGES
             connection.end(str(error))
 
 
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -23,7 +23,7 @@
 FOLDER = Path(__file__).parent / "exchanges"
 CONFIG = Path(__file__).parent.parent / "examples" / "config.json"
 START = 1000.0
-INPUTS = {">", "up", "lost", "full", "drained", "term", "hup", "wait"}
+INPUTS = {">", "up", "lost", "short", "full", "drained", "term", "hup", "wait"}
 
 
 def to_bytes(text: str) -> bytes:
@@ -166,8 +166,8 @@
                 whole = to_bytes(data)
                 for start in range(0, len(whole), cut or len(whole)):
                     peer.protocol.data_received(whole[start:start + (cut or len(whole))])
-            case "lost":
-                peer.closed = True
+            case "lost" | "short":  # short: no descriptor was left for it
+                peer.closed, peer.protocol.ours = True, what == "short"
                 peer.protocol.connection_lost(None)
             case "full":
                 peer.full = True
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -72,6 +72,17 @@
     assert any(line.endswith(" c1 hangup") for line in played[played.index(answers[-1]):][:3])
 
 
+def test_results_that_are_not_whole_are_bounded_together() -> None:
+    lines = ['set module "stubborn"', "set limits.memory_mb 24",
+             f"10 c1 > {''.join(map(asked, range(1, 15)))}", "11 L1 up"]
+    for number in range(1, 14):  # 42,000 bytes each, of 524,288 in all
+        rest = "".join(told(number, "batch", f"pos={pos}", page(pos)) for pos in range(1, 7))
+        lines.append(f"{20 + number} L1 > {told(number, 'ok', 'count=8', page(0))}{rest}")
+    lines.append(f"60 L1 > {told(14, 'ok', 'count=8', page(0))}")  # a fourteenth, once there is room again
+    given_up = [line.split()[0] for line in play("\n".join(lines)).splitlines() if r"\r\nEND\r\n" in line]
+    assert given_up == ["33"]
+
+
 HUNDREDS = "".join(map(asked, range(1, 200)))
 TAKEN_BACK = "".join(to_text(msgpack.packb([2, "giveUp", [number]])) for number in range(1, 200))
 NO_FIGURE = to_text(msgpack.packb([0, 1, "report", [{"txn": "0" * 16, "limit": "1_0", "team": "city"}, b""]]))
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import struct
+from dataclasses import replace
 from typing import Any
 
 import msgpack
+from conftest import LOAD, SHORT, Gateway, cancels, make_settings, sends
 from exchange import START, Player, to_text
 from test_exchanges import told
 
 from grebeproxy import Choice
+from grebeproxy.interface import Gone, Outcome
 
 LIVES = 2000
 
@@ -21,6 +24,18 @@
     return to_text(struct.pack(">IQB", 9 + len(rows), seq, 2) + rows)
 
 
+def test_nothing_stays_of_data_sets_that_were_held_once() -> None:
+    gateway = Gateway(make_settings(classes=(replace(SHORT, waits_for_loads=True), LOAD)))
+    for number in range(200):
+        for send in sends(gateway.ask(data_set=number, work=0.01)):
+            for _ in cancels(gateway.sweep(gateway.now + 0.35)):
+                gateway.do(Gone(send.id))
+                gateway.end(send, Outcome.CANCELLED)
+        gateway.now += 2.0
+    held = [len(node.held_until) for node in gateway.choice.nodes.values()]
+    assert sum(held) and max(held) <= 2
+
+
 def test_nothing_stays_of_what_went() -> None:
     player = Player(Choice, {"settings.limits.connIdle": 1000.0})
 
