--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -561,7 +561,10 @@
             self._at(since + IDLE_SHARE * self.limits.idle_timeout, self._check_idle, link)
 
     def _drop(self, link: Link, tell: bool = True, ours: bool = False) -> None:
-        """End a connection, or what it lacked was ``ours``. What was written to it may have run."""
+        """End a connection. What was written to it may have run; what was not never did.
+
+        ``ours`` tells that it could not be made for want of something on this machine.
+        """
         if self._links.pop(link.id, None) is None:
             return
         self._engine_links[link.engine].remove(link)
