A door for operators, engines out by hand, drains, and upgrades on one socket

- BALANCER_SOCKET_FD: both processes accept from the platform's socket (net/listener.py); on SIGTERM the old one stops at once.
Without it the 0.5 s hold as before.
- SIGTERM and drains close connections between requests, by half a close, from the call on.
Until now they stayed open until the program ended, and everything after 0.7 s was refused; now what can be answered before SIGKILL is.
- net/door.py, net/hands.py, net/handsfile.py: the line protocol, the engines out by hand with merging, the file that carries them.
- Bounds: door connections come off the clients' descriptors; limits are shared by two processes on one socket.

Tests: recordings door, by_hand, drain, term, term_late.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from grebeproxy.interface import (
-    Action, AttemptEnded, Cancel, Effect, Engine, EngineList, EngineState, Event, Fail, Gone, ListKind,
+    Action, AttemptEnded, ByHand, Cancel, Effect, EngineList, EngineState, Event, Fail, Gone, ListKind,
     Outcome, Overbooked, Probe, Probed, Progress, ProgressKind, Query, Refuse, Scope, Send, SetTerms,
     Settings, SetTimer, TimerFired, Watch)
 from grebeproxy.state import Books, Flow, Flows, Job, Node, Share, agreed, dealt, laid, stretch
@@ -84,6 +84,9 @@
                 self._ended(event)
             elif isinstance(event, EngineList):
                 self._list(event)
+            elif isinstance(event, ByHand):
+                self.handed(event.engines)
+                self._survey()
             elif isinstance(event, Progress) and event.engine in self.nodes:
                 self.nodes[event.engine].heard = now
                 job = self.jobs.get(event.id)
@@ -208,7 +211,7 @@
 
     def _survey(self) -> None:
         n, now = self.s.balancers, self.now
-        self.up = [e for e in self.nodes.values() if e.entry.state is EngineState.UP]
+        self.up = [e for e in self.nodes.values() if self.usable(e)]
         able = self.able = [e for e in self.up if e.ejected_at is None]
         self.homes.clear()
         if self.many:  # busier than the mean as far as with every tenant: one may have a burst
@@ -301,7 +304,7 @@
         cls, s, entry = job.cls, self.s, e.entry
         if job.answered or job.node is not None or job.attempts >= s.max_attempts or self.now >= job.due:
             return False
-        if entry.state is not EngineState.UP or entry.zone not in (cls.only_zones or (entry.zone,)) or (
+        if not self.usable(e) or entry.zone not in (cls.only_zones or (entry.zone,)) or (
                 entry.kind not in (cls.only_kinds or (entry.kind,))):
             return False
         if job.ran_on is not None and cls.effect is not Effect.SAFE:
@@ -591,19 +594,5 @@
         if ev.how is ListKind.FAILED:
             self.watch_at = self.now + (self.s.rules.list_expires or 1.0) / 4
             return
-        listed = {entry.id for entry in ev.engines}
-        for e in self.nodes.values():
-            if ev.how is not ListKind.CHANGES and e.entry.id not in listed:
-                e.entry = Engine(e.entry.id, e.entry.kind, e.entry.zone, e.entry.cell, EngineState.GONE)
-        for entry in ev.engines:
-            node = self.nodes.get(entry.id)
-            if node is None:
-                kind = next((k for k in self.s.kinds if k.name == entry.kind), self.s.kinds[0])
-                node = self.nodes[entry.id] = Node(entry, kind.cores, kind.memory_mb)
-                node.slow, node.heard = self.pool, self.now
-            if entry.started is not None and entry.started > (node.cold_since or 0.0):
-                node.cold_since, node.trial_at = entry.started, self.now  # a new process is tried at once
-                node.warm.clear()
-            node.entry = entry
-        self.ring = agreed(e.entry.id for e in self.nodes.values() if e.entry.state is EngineState.UP)
+        self.listed(ev, self.s.kinds)
         self._survey()
--- a/grebeproxy/config.py
+++ b/grebeproxy/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +15,7 @@
 
 DEFAULT_SOCKETS = 1024
 DEFAULT_MEMORY_MB = 192.0
+MOST_DESCRIPTOR = 2 ** 20
 
 
 class ConfigError(Exception):
@@ -34,6 +35,9 @@
     known: dict[str, Any]
     settings: Settings
     limits: WireLimits
+    admin: tuple[str, int] | None = None  # where operators call
+    listen_fd: int | None = None  # the descriptor of a listening socket that the platform holds
+    folder: Path | None = None  # shared with other processes of this router
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -49,10 +53,12 @@
         raise ConfigError(f"BALANCER_CONFIG: {path}: {error}") from None
     if not isinstance(told, dict):
         raise ConfigError(f"BALANCER_CONFIG: {path}: must hold an object")
-    for key, variable in (("name", "BALANCER_NAME"), ("listen", "BALANCER_LISTEN")):
+    for key, variable in (("name", "BALANCER_NAME"), ("listen", "BALANCER_LISTEN"),
+                          ("admin", "BALANCER_ADMIN")):
         if environ.get(variable):
             told[key] = environ[variable]
-    return parse(told)
+    folder = Path(environ["TMPDIR"]) if environ.get("TMPDIR") else None
+    return replace(parse(told), listen_fd=_descriptor(environ.get("BALANCER_SOCKET_FD")), folder=folder)
 
 
 def parse(told: dict[str, Any]) -> Config:
@@ -78,7 +84,8 @@
         raise ConfigError(f"settings.{error}") from None
     return Config(name=str(told.get("name", "grebeproxy")), listen=_address(told, "listen"),
                   changelog=_address(told, "changelog"), seed=_seed(told.get("seed", "0")),
-                  sockets=sockets, memory_mb=memory_mb, known=known, settings=module, limits=wire)
+                  sockets=sockets, memory_mb=memory_mb, known=known, settings=module, limits=wire,
+                  admin=_address(told, "admin") if told.get("admin") else None)
 
 
 def _object(told: dict[str, Any], key: str) -> dict[str, Any]:
@@ -105,6 +112,14 @@
         raise ConfigError(f"{key}: {error}") from None
 
 
+def _descriptor(told: str | None) -> int | None:
+    if not told:
+        return None
+    if not told.isdecimal() or int(told) > MOST_DESCRIPTOR:
+        raise ConfigError("BALANCER_SOCKET_FD: must be the number of a descriptor")
+    return int(told)
+
+
 def _seed(value: object) -> int:
     try:
         return int(str(value), 16)
--- a/grebeproxy/interface.py
+++ b/grebeproxy/interface.py
@@ -261,6 +261,13 @@
     version: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ByHand:
+    """All engines that operators have taken out: they get nothing new, whatever the list says."""
+
+    engines: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class Query:
     """A client's request; ``due`` is the clock time at which the client gives up."""
@@ -345,7 +352,7 @@
     name: str
 
 
-Event = Union[EngineList, Query, Gone, AttemptEnded, AttemptStarted, Progress, Probed, PeerMessage,
+Event = Union[EngineList, ByHand, Query, Gone, AttemptEnded, AttemptStarted, Progress, Probed, PeerMessage,
               TimerFired]
 
 
--- a/grebeproxy/net/events.py
+++ b/grebeproxy/net/events.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from typing import Union
 
-from grebeproxy.net.messages import EngineAnswer, FromClient, News, ToClient, ToEngine
+from grebeproxy.net.hands import Calls
+from grebeproxy.net.messages import DoorCall, EngineAnswer, FromClient, News, ToClient, ToEngine
 
 Address = tuple[str, int]
 
@@ -105,6 +106,35 @@
     """The time asked for with ``Wake`` has come."""
 
 
+@dataclass(frozen=True, slots=True)
+class DoorOpened:
+    """An operator has connected."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class DoorSaid:
+    """An operator's call."""
+
+    conn: int
+    call: DoorCall
+
+
+@dataclass(frozen=True, slots=True)
+class DoorClosed:
+    """An operator's connection has ended."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandsRead:
+    """What the processes of this router have put down of engines taken out by hand."""
+
+    calls: Calls
+
+
 @dataclass(frozen=True, slots=True)
 class Reloaded:
     """The configuration was read again: where the change log is from now on."""
@@ -118,8 +148,9 @@
 
 
 LinkEvent = Union[LinkOpened, LinkClosed, LinkPaused, LinkResumed, LinkSaid, LinkBegun]
-Event = Union[ClientOpened, ClientBegun, ClientSaid, ClientClosed, LinkEvent, LogSaid, LogClosed, Woken,
-              Reloaded, StopAsked]
+DoorEvent = Union[DoorOpened, DoorSaid, DoorClosed]
+Event = Union[ClientOpened, ClientBegun, ClientSaid, ClientClosed, LinkEvent, LogSaid, LogClosed, DoorEvent,
+              HandsRead, Woken, Reloaded, StopAsked]
 
 
 # --- effects
@@ -140,6 +171,36 @@
     conn: int
 
 
+@dataclass(frozen=True, slots=True)
+class PartClient:
+    """Tell a client that nothing more comes on its connection; ``ClientClosed`` follows."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerDoor:
+    """Answer an operator's call and end the connection."""
+
+    conn: int
+    done: bool
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class CloseDoor:
+    """End an operator's connection with no answer."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class SaveHands:
+    """Put down what is known of engines taken out by hand, for this router's other processes."""
+
+    calls: Calls
+
+
 @dataclass(frozen=True, slots=True)
 class OpenLink:
     """Connect to an engine."""
@@ -200,5 +261,5 @@
     """All is answered: end the program once what was written is sent."""
 
 
-Effect = Union[Answer, CloseClient, OpenLink, Write, CloseLink, OpenLog, Wake, Note, StartListening,
-               StopListening, Exit]
+Effect = Union[Answer, CloseClient, PartClient, AnswerDoor, CloseDoor, SaveHands, OpenLink, Write, CloseLink,
+               OpenLog, Wake, Note, StartListening, StopListening, Exit]
--- /dev/null
+++ b/grebeproxy/net/listener.py
@@ -0,0 +1,90 @@
+"""A listening socket: takes connections a few at a time and hands each to a protocol.
+
+The loop's own server takes all that are there in one go, and when descriptors run out it closes on whoever
+comes: hundreds that say nothing would shut out the usual clients.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+BACKLOG = 1024  # connections that the machine holds until they are taken
+ACCEPTS = 16  # connections taken before what has come on others is read
+ACCEPT_PAUSE = 0.05  # seconds without descriptors
+
+
+def bound(address: tuple[str, int]) -> socket.socket:
+    """A socket bound to ``host, port``, not heard from yet. Raises ``OSError`` where it cannot be had."""
+    listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+def inherited(descriptor: int) -> socket.socket:
+    """The listening socket that the platform holds under a descriptor. Raises ``OSError`` for another one."""
+    listener = socket.socket(fileno=descriptor)
+    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        listener.detach()
+        raise OSError(f"descriptor {descriptor} does not listen")
+    return listener
+
+
+class Listener:
+    """Takes connections from a socket; ``complain`` is told why none can be taken."""
+
+    def __init__(self, listener: socket.socket, made: Callable[[], asyncio.Protocol],
+                 complain: Callable[[str], None], *, shared: bool = False) -> None:
+        listener.setblocking(False)
+        self._socket: socket.socket | None = listener
+        self._made, self._complain, self._shared = made, complain, shared
+        self._accepting: set[asyncio.Task[object]] = set()
+
+    def open(self) -> None:
+        """Hear from now on. Raises ``OSError`` where another program came first."""
+        if self._socket is not None:
+            if not self._shared:
+                self._socket.listen(BACKLOG)
+            self._listen()
+
+    def close(self, most: int = 0) -> None:
+        """Hear no more. Of an own socket up to ``most`` waiting connections are taken first.
+
+        What waits on a shared one is left to the other process.
+        """
+        if self._socket is not None:
+            if not self._shared:
+                self._accept(most)
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def _listen(self) -> None:
+        if self._socket is not None:
+            asyncio.get_running_loop().add_reader(self._socket, self._accept)
+
+    def _accept(self, most: int = ACCEPTS) -> None:
+        """Take some connections, and leave the rest to the machine's queue until what came is read."""
+        loop = asyncio.get_running_loop()
+        for _ in range(most):
+            if self._socket is None:
+                return
+            try:
+                taken, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionError):
+                return  # also where another process on the same socket was quicker
+            except OSError as error:  # no descriptor is left
+                self._complain(f"listen: {error}")
+                loop.remove_reader(self._socket)
+                loop.call_later(ACCEPT_PAUSE, self._listen)
+                return
+            taken.setblocking(False)
+            task: asyncio.Task[object] = loop.create_task(loop.connect_accepted_socket(self._made, taken))
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
--- a/grebeproxy/net/messages.py
+++ b/grebeproxy/net/messages.py
@@ -184,3 +184,43 @@
     seq: int
     change: EngineList | None = None
     addresses: dict[str, tuple[str, int]] | None = None
+
+
+# --- what operators say at the door
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """Does this process take clients?"""
+
+
+@dataclass(frozen=True, slots=True)
+class TakeOut:
+    """Nothing new is to go to an engine, whatever the list says."""
+
+    engine: str
+
+
+@dataclass(frozen=True, slots=True)
+class TakeBack:
+    """The engine may serve again."""
+
+    engine: str
+
+
+@dataclass(frozen=True, slots=True)
+class Standby:
+    """Clients are to go elsewhere."""
+
+
+@dataclass(frozen=True, slots=True)
+class Active:
+    """Clients may come again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """A line that is no call."""
+
+
+DoorCall = Union[Status, TakeOut, TakeBack, Standby, Active, Unknown]
--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -17,12 +17,14 @@
 from grebeproxy.choice import Choice
 from grebeproxy.net import admission, follower
 from grebeproxy.net.events import (
-    Address, Answer, ClientBegun, ClientClosed, ClientOpened, ClientSaid, CloseClient, CloseLink, Effect,
-    Event, Exit, LinkClosed, LinkEvent, LinkOpened, LinkBegun, LinkPaused, LinkResumed, LinkSaid, LogClosed,
-    LogSaid, Note, OpenLink, Reloaded, StartListening, StopAsked, StopListening, Wake, Woken, Write)
+    Address, Answer, AnswerDoor, ClientBegun, ClientClosed, ClientOpened, ClientSaid, CloseClient,
+    CloseDoor, CloseLink, DoorClosed, DoorOpened, DoorSaid, Effect, Event, Exit, HandsRead, LinkClosed,
+    LinkEvent, LinkOpened, LinkBegun, LinkPaused, LinkResumed, LinkSaid, LogClosed, LogSaid, Note, OpenLink,
+    PartClient, Reloaded, SaveHands, StartListening, StopAsked, StopListening, Wake, Woken, Write)
+from grebeproxy.net.hands import Calls, Hands
 from grebeproxy.net.messages import (
-    Call, End, EngineAnswer, Failed, Fetch, FromClient, GiveUp, Hello, Invalid, News, Ping, Pong, Refused,
-    Run, Served, Stop, ToClient, ToEngine, Word)
+    Active, Call, DoorCall, End, EngineAnswer, Failed, Fetch, FromClient, GiveUp, Hello, Invalid, News, Ping,
+    Pong, Refused, Run, Served, Standby, Status, Stop, TakeBack, TakeOut, ToClient, ToEngine, Word)
 from grebeproxy.settings import WireLimits
 
 TRANSIT = 0.020  # seconds of a client's limit kept for the request's and the answer's way
@@ -32,6 +34,9 @@
 MOST_RESULT = 48_000  # bytes
 IDLE_SHARE = 0.8  # of the engines' idle time-out: closing first keeps requests from crossing their close
 ACCEPT_AFTER_STOP, SERVE_AFTER_STOP = 0.5, 0.7  # seconds; new connections come for 0.4 of them
+# From a stop until it is forced: the longest deadline, or 3 s where it is shorter, and 0.7 s more; 5.7 s at
+# most where another process takes over. What would be answered later, with some margin, is not taken.
+KILL_LEAST, KILL_SHARED, KILL_AFTER = 3.0, 5.0, 0.6
 
 class Module(Protocol):
     """A decision module."""
@@ -111,7 +116,7 @@
 
     def __init__(self, settings: api.Settings, limits: WireLimits, *, changelog: Address,
                  bounds: admission.Bounds, seed: int, now: float, known: Iterable[News] = (),
-                 decide: Decide = Choice) -> None:
+                 decide: Decide = Choice, shared: bool = False) -> None:
         # Probes, messages between routers and asking for the list have no form on sockets.
         self.settings = replace(settings, may_probe=False, may_message=False, asks_for_list=False)
         self.limits, self.now = limits, now
@@ -133,7 +138,12 @@
         self._effects: list[Effect] = []
         self._wake_at: float | None = None
         self._log = follower.Follower(changelog, now)
-        self._listening = self._stopping = self._refusing = self._done = False
+        self._shared = shared  # clients come on a socket that another process hears as well
+        self._listening = self._stopping = self._ending = self._done = False
+        self._last_due = float("inf")
+        self._drained: float | None = None  # since when operators want clients to go elsewhere
+        self._hands, self._told_out = Hands(), frozenset[str]()
+        self._doors: dict[int, float] = {}  # operators' connections, the oldest first
         for news in known:
             self._log.seq = news.seq
             self._apply(news)
@@ -161,7 +171,11 @@
             events, self._pending = self._pending, []
             for action in self._decide(events):
                 self._act(action)
-        if self._refusing and not self._done and not any(r.owed for r in self._requests.values()):
+        if self._leaving():
+            for client in admission.to_part(self._clients):
+                client.parted = self.now
+                self._effects.append(PartClient(client.conn))
+        if self._ending and not self._done and not any(r.owed for r in self._requests.values()):
             self._done = True
             self._effects.append(Exit())
         for link, commands in self._commands.items():
@@ -195,10 +209,11 @@
                 self._admit(conn)
             case ClientSaid(conn, message):
                 # What came behind a message that made us close names no connection that is left.
-                if (client := self._clients.get(conn)) is not None:
+                if (client := self._clients.get(conn)) is not None and client.parted is None:
                     self._on_client(client, message)
             case ClientBegun(conn):
-                if (client := self._clients.get(conn)) is not None and client.begun is None:
+                client = self._clients.get(conn)
+                if client is not None and client.begun is None and client.parted is None:
                     client.begun = self.now
             case ClientClosed(conn):
                 self._leave(conn)
@@ -210,13 +225,21 @@
                 self._read_log(news)
             case LogClosed(reason):
                 self._lose_log(reason)
+            case DoorOpened(conn):
+                self._open_door(conn)
+            case DoorSaid(conn, call):
+                if self._doors.pop(conn, None) is not None:
+                    done, text = self._on_call(call)
+                    self._effects.append(AnswerDoor(conn, done, text))
+            case DoorClosed(conn):
+                self._doors.pop(conn, None)
+            case HandsRead(calls):
+                self._merge_hands(calls)
             case Reloaded(address):
                 self._move_log(address)
             case StopAsked():
                 if not self._stopping:
-                    self._stopping = True
-                    self._at(self.now + ACCEPT_AFTER_STOP, self._stop_listening)
-                    self._at(self.now + SERVE_AFTER_STOP, self._start_refusing)
+                    self._stop()
             case Woken():
                 self._wake_at = None
 
@@ -230,7 +253,7 @@
                 if msg in client.requests:
                     self._abandon(client.requests[msg])
             case Ping(msg):
-                self._effects.append(Answer(client.conn, Pong(msg, not self._stopping)))
+                self._effects.append(Answer(client.conn, Pong(msg, not self._leaving())))
             case Invalid(msg, name):
                 self._fault(client, Failed(msg, name))
 
@@ -298,7 +321,7 @@
             self._fault(client, Failed(call.msg, "txn"))
         elif len(client.requests) >= admission.OPEN_PER_CLIENT:
             self._fault(client, turned_away)
-        elif (self._refusing or len(self._requests) >= self.limits.max_open
+        elif (self._done or len(self._requests) >= self.limits.max_open
               or self._bodies + len(call.body) > self._bounds.bodies):
             self._effects.append(Answer(client.conn, turned_away))
         else:
@@ -306,6 +329,10 @@
             # request until then would pile up.
             limit = min(call.limit, self._deadlines[call.cls])
             request = Request(call, client.conn, self.now + limit - TRANSIT)
+            drained = self._drained is not None and self.now > self._drained + admission.DRAIN_TAKES
+            if drained or request.due + OVERDUE > self._last_due:
+                self._effects.append(Answer(client.conn, turned_away))
+                return
             self._requests[call.txn] = client.requests[call.msg] = request
             self._bodies += len(call.body)
             self._at(request.due + OVERDUE, self._overdue, call.txn, request.due)
@@ -394,6 +421,9 @@
             self._report(attempt, api.Outcome.MOOT)
             return
         request.out = attempt
+        if action.engine in self._hands.out():  # guards operators' word, whatever was decided
+            self._end(attempt, api.Outcome.MOOT)
+            return
         if action.engine not in self._places:  # another engine has its address now
             self._end(attempt, api.Outcome.CONNECT_FAILED)
             return
@@ -441,7 +471,7 @@
         The connection is asked. Ending it unasked cost a handshake for most queries that stood still: over
         all routers a new connection for every third query.
         """
-        if link.asked is None:
+        if link.asked is None and not link.retired:
             link.asked = self.now
             self._command(link, Hello(str(link.id)))
             self._at(self.now + self.limits.connect_timeout, self._check_doubt, link)
@@ -688,8 +718,64 @@
             if drop or not link.attempts:
                 self._drop(link)
 
+    # --- operators
+
+    def _open_door(self, conn: int) -> None:
+        if len(self._doors) >= admission.MOST_DOORS:
+            self._close_door(next(iter(self._doors)))
+        self._doors[conn] = self.now
+        self._at(self.now + admission.DOOR_PATIENCE, self._close_door, conn)
+
+    def _close_door(self, conn: int) -> None:
+        if self._doors.pop(conn, None) is not None:
+            self._effects.append(CloseDoor(conn))
+
+    def _on_call(self, call: DoorCall) -> tuple[bool, str]:
+        """Whether a call was carried out, and a word on it."""
+        match call:
+            case Status():
+                taking = self._listening and not self._stopping
+                return taking, "serving" if taking and not self._leaving() else "not serving"
+            case TakeOut(engine) | TakeBack(engine):
+                place = self._places.get(engine)
+                if engine not in self._hands.out() and (place is None or place.gone):
+                    return False, "no such engine"
+                done = self._hands.set(engine, isinstance(call, TakeOut))
+                self._effects.append(SaveHands(dict(self._hands.calls)))
+                self._handed()
+                return done, "done" if done else "too many engines are out"
+            case Standby():
+                if self._drained is None:
+                    self._drained = self.now
+                return True, "clients are sent away"
+            case Active() if not self._stopping:
+                self._drained = None
+                return True, "clients may come"
+        return False, "stopping" if isinstance(call, Active) else "not a call"
+
+    def _merge_hands(self, calls: Calls) -> None:
+        self._hands.merge(calls)
+        if self._hands.calls != calls:
+            self._effects.append(SaveHands(dict(self._hands.calls)))
+        self._handed()
+
+    def _handed(self) -> None:
+        """What operators set has changed, or was set again."""
+        out = self._hands.out()
+        if out == self._told_out:
+            return
+        self._effects.append(Note(f"out by hand: {' '.join(sorted(out)) or 'none'}"))
+        for engine in out - self._told_out:
+            self._retire(engine)
+        self._told_out = out
+        self._pending.append(api.ByHand(out))
+
     # --- the beginning and the end
 
+    def _leaving(self) -> bool:
+        """Clients are moved off: they find no readiness, and connections end between requests."""
+        return self._stopping or self._drained is not None
+
     def _start_listening(self) -> None:
         """Take clients once the change log has been heard, or has had its time.
 
@@ -700,8 +786,20 @@
             self._listening = True
             self._effects.append(StartListening())
 
+    def _stop(self) -> None:
+        """Leave: clients are moved off between requests, what was taken is answered, then it ends."""
+        self._stopping = True
+        longest = max(self._deadlines.values())
+        forced = min(longest, KILL_SHARED) if self._shared else max(longest, KILL_LEAST)
+        self._last_due = self.now + forced + KILL_AFTER
+        if self._shared:  # what nobody has taken yet is there for whoever takes over
+            self._stop_listening()
+        else:
+            self._at(self.now + ACCEPT_AFTER_STOP, self._stop_listening)
+        self._at(self.now + SERVE_AFTER_STOP, self._end_when_answered)
+
     def _stop_listening(self) -> None:
         self._effects.append(StopListening())
 
-    def _start_refusing(self) -> None:
-        self._refusing = True
+    def _end_when_answered(self) -> None:
+        self._ending = True
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -22,14 +22,13 @@
 
 from grebeproxy.choice import Choice
 from grebeproxy.config import Config, ConfigError
-from grebeproxy.net import admission, changelog, events, msgpack_rpc, resp, router
-from grebeproxy.net.messages import BadFrameError, EngineAnswer, FromClient, News
+from grebeproxy.net import admission, changelog, door, events, hands, msgpack_rpc, resp, router
+from grebeproxy.net.handsfile import LOOK, HandsFile
+from grebeproxy.net.listener import Listener, bound, inherited
+from grebeproxy.net.messages import BadFrameError, DoorCall, EngineAnswer, FromClient, News
 
 LOG = logging.getLogger("grebeproxy")
 MOST_UNSENT = 2 * 1024 * 1024  # per client: over 32 answers of 48,000 bytes, all a client may have open
-BACKLOG = 1024  # connections that the machine holds until they are taken
-ACCEPTS = 16  # connections taken before what has come on others is read
-ACCEPT_PAUSE = 0.05  # seconds without descriptors
 COMPLAINTS_APART = 1.0  # seconds between log lines on peers that cannot be understood
 SOCKET_OPTIONS = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
              (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 30),
@@ -171,6 +170,11 @@
         if unsent > min(MOST_UNSENT, bounds.unsent) or (unsent and self.runtime.unsent() > bounds.unsent):
             self.end("the client does not read its answers")
 
+    def part(self) -> None:
+        """Send the end of the stream behind what is written, and read on: what crosses must not reset it."""
+        if self.transport is not None and not self.ended:
+            self.transport.write_eof()
+
     def pause_writing(self) -> None:
         """Take no further requests from a client that does not read."""
         if self.transport is not None:
@@ -218,6 +222,39 @@
             self.runtime.feed(events.LinkResumed(self.number))
 
 
+class Door(Connection):
+    """An operator's connection."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        super().__init__(runtime, door.Decoder())
+        self.number = runtime.next_number()
+
+    def opened(self) -> None:
+        """Count it in."""
+        self.runtime.doors[self.number] = self
+        self.runtime.feed(events.DoorOpened(self.number))
+
+    def said(self, message: object) -> events.Event:
+        """A call."""
+        return events.DoorSaid(self.number, cast(DoorCall, message))
+
+    def complain(self, text: str) -> None:
+        """Some callers send nothing else."""
+        self.runtime.complain(text)
+
+    def closed(self, reason: str) -> events.Event:
+        """Count it out."""
+        self.runtime.doors.pop(self.number, None)
+        return events.DoorClosed(self.number)
+
+    def answer(self, done: bool, text: str) -> None:
+        """The answer, and the end behind it."""
+        if self.transport is not None and not self.ended:
+            self.ended = True
+            self.transport.write(door.encode(done, text))
+            self.transport.close()
+
+
 class Log(Connection):
     """The connection to the change log."""
 
@@ -246,13 +283,17 @@
         self.config = config
         self.clients: dict[int, Client] = {}
         self.links: dict[int, Link] = {}
+        self.doors: dict[int, Door] = {}
         self._log_link: Log | None = None
-        self._listener: socket.socket | None = None
+        self._listener: Listener | None = None
+        self._door: Listener | None = None
+        self._hands = HandsFile(config.folder, config.name) if config.admin and config.folder else None
         self._unheard: OSError | None = None  # why the address could not be listened on
-        self._accepting: set[asyncio.Task[object]] = set()
         self._complained = float("-inf")
         self._unsaid = 0
-        self.bounds = admission.bounds(config.sockets, config.memory_mb)
+        shared = config.listen_fd is not None
+        self.bounds = admission.bounds(
+            config.sockets, config.memory_mb, shared=shared, door=config.admin is not None)
         self._wake: asyncio.TimerHandle | None = None
         self._events: list[events.Event] = []
         self._stepping = False
@@ -263,7 +304,7 @@
         self._unix_offset = time.time() - time.monotonic()
         self._router = router.Router(
             config.settings, config.limits, changelog=config.changelog, bounds=self.bounds,
-            seed=config.seed, now=self.now(), decide=decide,
+            seed=config.seed, now=self.now(), decide=decide, shared=shared,
             known=changelog.known_events(config.known, self.clock))
 
     def next_number(self) -> int:
@@ -300,15 +341,18 @@
 
     async def serve(self) -> None:
         """Serve until asked to stop and all is answered."""
-        host, port = self.config.listen
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
         # Bound at once, so that an address that cannot be had ends the start; heard from when it is time.
-        self._listener = socket.socket(family)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, port))
-        self._listener.setblocking(False)
+        fd = self.config.listen_fd
+        self._listener = Listener(bound(self.config.listen) if fd is None else inherited(fd),
+                                  lambda: Client(self), self.complain, shared=fd is not None)
+        if self.config.admin is not None:
+            self._door = Listener(bound(self.config.admin), lambda: Door(self), self.complain)
+            self._door.open()
         self._carry_out(self._router.start(self.now()))
+        self._look_at_hands()
         await self._done.wait()
+        if self._door is not None:
+            self._door.close()
         if self._unheard is not None:
             raise self._unheard
         for client in list(self.clients.values()):
@@ -322,45 +366,15 @@
         """Take connections from now on."""
         if self._listener is not None:
             try:
-                self._listener.listen(BACKLOG)
+                self._listener.open()
             except OSError as error:
                 # Guards against another program that bound the address as well and listened first.
                 self._unheard = error
                 self.exit()
                 return
-            self._listen()
             host, port = self.config.listen
             self.log(f"{self.config.name}: serving on {host}:{port}")
 
-    def _listen(self) -> None:
-        if self._listener is not None:
-            asyncio.get_running_loop().add_reader(self._listener, self._accept)
-
-    def _accept(self, most: int = ACCEPTS) -> None:
-        """Take some connections, and leave the rest to the machine's queue until what came is read.
-
-        The loop's own server takes all that are there in one go, and when descriptors run out it closes on
-        whoever comes: hundreds that say nothing would shut out the usual clients.
-        """
-        loop = asyncio.get_running_loop()
-        for _ in range(most):
-            if self._listener is None:
-                return
-            try:
-                taken, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionError):
-                return
-            except OSError as error:  # no descriptor is left
-                self.complain(f"listen: {error}")
-                loop.remove_reader(self._listener)
-                loop.call_later(ACCEPT_PAUSE, self._listen)
-                return
-            taken.setblocking(False)
-            task: asyncio.Task[object] = loop.create_task(
-                loop.connect_accepted_socket(lambda: Client(self), taken))
-            self._accepting.add(task)
-            task.add_done_callback(self._accepting.discard)
-
     def feed(self, *told: events.Event) -> None:
         """Let the router take events; those that its effects bring about are taken next."""
         self._events.extend(told)
@@ -394,6 +408,17 @@
                 case events.CloseClient(number):
                     if (leaving := self.clients.pop(number, None)) is not None:
                         leaving.close()
+                case events.PartClient(number):
+                    if (parting := self.clients.get(number)) is not None:
+                        parting.part()
+                case events.AnswerDoor(number, done, text):
+                    if (caller := self.doors.pop(number, None)) is not None:
+                        caller.answer(done, text)
+                case events.CloseDoor(number):
+                    if (caller := self.doors.pop(number, None)) is not None:
+                        caller.close()
+                case events.SaveHands(calls):
+                    self._save_hands(calls)
                 case events.OpenLog(address, seq):
                     if self._log_link is not None:
                         self._log_link.close()
@@ -408,6 +433,25 @@
                 case events.Exit():
                     self.exit()
 
+    def _look_at_hands(self) -> None:
+        """Read what another process of this router has put down, if it did, now and ever again."""
+        if self._hands is None:
+            return
+        try:
+            calls = self._hands.read()
+            if calls is not None:
+                self.feed(events.HandsRead(calls))
+        except (OSError, hands.HandsError) as error:
+            self.log(f"{self._hands.path.name}: not used: {error}")
+        asyncio.get_running_loop().call_later(LOOK, self._look_at_hands)
+
+    def _save_hands(self, calls: hands.Calls) -> None:
+        if self._hands is not None:
+            try:
+                self._hands.write(calls)
+            except OSError as error:  # in force all the same, but not told to another process
+                self.log(f"{self._hands.path.name}: not written: {error}")
+
     def terminate(self) -> None:
         """Finish what was taken, then end."""
         self.feed(events.StopAsked())
@@ -431,9 +475,7 @@
     def stop_listening(self) -> None:
         """Take no more connections."""
         if self._listener is not None:
-            self._accept(most=self.bounds.clients)  # what the machine has accepted already is ours
-            asyncio.get_running_loop().remove_reader(self._listener)
-            self._listener.close()
+            self._listener.close(most=self.bounds.clients)  # what the machine has accepted already is ours
             self._listener = None
 
     def exit(self) -> None:
--- a/grebeproxy/state.py
+++ b/grebeproxy/state.py
@@ -8,7 +8,7 @@
 from itertools import accumulate, pairwise
 from math import exp
 
-from grebeproxy.interface import Action, Engine, Query, QueryClass
+from grebeproxy.interface import Action, Engine, EngineList, EngineState, Kind, ListKind, Query, QueryClass
 
 
 class Job:
@@ -84,6 +84,11 @@
         job.node = None
         self._book(job, -1)
 
+    def restarted(self, since: float, now: float) -> None:
+        """Book a new process of the engine."""
+        self.cold_since, self.trial_at = since, now
+        self.warm.clear()
+
     def probed(self, now: float, latency: float, quick: float) -> None:
         """Book a probe; one that came back so quickly is a sign of life."""
         self.probed_at, self.probe = now, latency
@@ -263,7 +268,8 @@
         self.turns: defaultdict[str, list[Job]] = defaultdict(list)  # by key, of classes in order
         self.rest: dict[str, float] = {}
         self.nodes: dict[str, Node] = {}
-        self.up: list[Node] = []  # listed as up
+        self.by_hand: frozenset[str] = frozenset()  # engines that operators have taken out
+        self.up: list[Node] = []  # listed as up, and not out by hand
         self.able: list[Node] = []  # and not ejected
         self.cores = 1.0  # our share of those, and of their memory
         self.memory = 0.0
@@ -288,6 +294,36 @@
         self.homes: dict[int, tuple[float, dict[str, int]]] = {}  # home engines by data set, of this moment
         self.taken, self.extra = Window(), Window()  # queries, and attempts beyond a first
 
+    def listed(self, news: EngineList, kinds: tuple[Kind, ...]) -> None:
+        """Book what the list says of engines; one that has started since is cold, and is tried at once."""
+        names = {entry.id for entry in news.engines}
+        for e in self.nodes.values():
+            if news.how is not ListKind.CHANGES and e.entry.id not in names:
+                e.entry = Engine(e.entry.id, e.entry.kind, e.entry.zone, e.entry.cell, EngineState.GONE)
+        for entry in news.engines:
+            node = self.nodes.get(entry.id)
+            if node is None:
+                kind = next((k for k in kinds if k.name == entry.kind), kinds[0])
+                node = self.nodes[entry.id] = Node(entry, kind.cores, kind.memory_mb)
+                node.slow, node.heard = self.pool, self.now
+            if entry.started is not None and entry.started > (node.cold_since or 0.0):
+                node.restarted(entry.started, self.now)
+            node.entry = entry
+        self.ring = agreed(e.entry.id for e in self.nodes.values() if self.usable(e))
+
+    def handed(self, out: frozenset[str]) -> None:
+        """Book what operators took out; what they give back was restarted meanwhile."""
+        for e in (self.nodes[engine] for engine in self.by_hand - out if engine in self.nodes):
+            e.restarted(self.now, self.now)
+            e.ejected_at, e.faults, e.backoff, e.unreachable, e.still = None, 0.0, 0.0, False, 0
+            e.heard, e.slow = self.now, self.pool
+        self.by_hand = out
+        self.ring = agreed(e.entry.id for e in self.nodes.values() if self.usable(e))
+
+    def usable(self, e: Node) -> bool:
+        """Listed as up, and not taken out by hand."""
+        return e.entry.state is EngineState.UP and e.entry.id not in self.by_hand
+
     def fade(self, now: float, kept: float, long_threads: int) -> None:
         """Let what was learned of slowness fade, and average what is out."""
         fill = self.granted / self.memory if self.memory else 0.0
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -1,7 +1,8 @@
 """Plays recorded byte exchanges against the whole program but its sockets, on a clock of their own.
 
 A line of a recording is ``MS WHO WHAT``. ``c1 > BYTES`` is what client 1 sends and ``c1 < BYTES`` what it
-gets; L1, L2 … are connections to engines in the order they were dialled, ``log`` is the change log's.
+gets; L1, L2 … are connections to engines in the order they were dialled, ``log`` is the change log's, and d1
+is an operator's. ``file`` is what the processes of one router share.
 Bytes stand as text, what does not print as in Python. Run this file to record the answers anew, then read
 the difference: what it writes is what the program does, not what it should do.
 """
@@ -17,13 +18,14 @@
 from grebeproxy import Choice
 from grebeproxy import interface as api
 from grebeproxy.config import parse
+from grebeproxy.net import events, hands
 from grebeproxy.net.router import Decide
-from grebeproxy.net.runtime import Client, Connection, Log, Runtime
+from grebeproxy.net.runtime import Client, Connection, Door, Log, Runtime
 
 FOLDER = Path(__file__).parent / "exchanges"
 CONFIG = Path(__file__).parent.parent / "examples" / "config.json"
 START = 1000.0
-INPUTS = {">", "up", "lost", "short", "full", "drained", "term", "hup", "wait"}
+INPUTS = {">", "up", "lost", "short", "full", "drained", "term", "hup", "wait", "says"}
 
 
 def to_bytes(text: str) -> bytes:
@@ -39,9 +41,9 @@
     told: dict[str, Any] = orjson.loads(CONFIG.read_bytes())
     for path, value in changes.items():
         *inner, last = path.split(".")
-        part = told
+        part: Any = told
         for key in inner:
-            part = part[key]
+            part = part[int(key) if isinstance(part, list) else key]
         part[last] = value
     return told
 
@@ -89,6 +91,13 @@
             self.closed = True
             self.player.out(self.name, "hangup")
 
+    def write_eof(self) -> None:
+        assert not self.closed
+        self.player.out(self.name, "eof")
+
+    def close(self) -> None:
+        self.abort()
+
     def get_write_buffer_size(self) -> int:
         return self.unsent
 
@@ -137,6 +146,9 @@
     def exit(self) -> None:
         self.out("program", "exits")
 
+    def _save_hands(self, calls: hands.Calls) -> None:
+        self.out("file", f"written {orjson.dumps(calls, option=orjson.OPT_SORT_KEYS).decode()}")
+
     def _wake_at(self, at: float) -> None:
         self.woken_at = at
 
@@ -158,8 +170,12 @@
 
     def happen(self, who: str, what: str, data: str, cut: int) -> None:
         """One input line."""
-        if who not in self.peers and who.startswith("c"):
-            self.peers[who] = FakeTransport(self, who, Client(self))
+        if who == "file":  # another process has written it
+            calls = {name: (int(number), bool(out)) for name, (number, out) in orjson.loads(data).items()}
+            self.feed(events.HandsRead(calls))
+            return
+        if who not in self.peers and who[0] in "cd":
+            self.peers[who] = FakeTransport(self, who, Client(self) if who[0] == "c" else Door(self))
             self.connect(who)
         elif what == "up":
             self.connect(who)
