Settings read at SIGHUP take effect while serving

Runtime.reload took changelog alone.

Change: a file is checked whole (deadline, aim and number of attempts above 0, no key missing that was there) and then holds whole: decoders, the reducer's deadlines and limits, and the module (event Retuned). Queries under way keep their class; what was learned stays with the class's name; one whose class has gone is ranked by its aim.

--- a/grebeproxy/choice.py
+++ b/grebeproxy/choice.py
@@ -13,7 +13,7 @@
 
 from grebeproxy.interface import (
     Action, AttemptEnded, ByHand, Cancel, Effect, EngineList, EngineState, Event, Fail, Gone, ListKind,
-    Outcome, Overbooked, Probe, Probed, Progress, ProgressKind, Query, Refuse, Scope, Send, SetTerms,
+    Outcome, Overbooked, Probe, Probed, Progress, ProgressKind, Query, Refuse, Retuned, Scope, Send, SetTerms,
     Settings, SetTimer, TimerFired, Watch)
 from grebeproxy.state import Books, Flow, Flows, Job, Node, Share, agreed, dealt, laid, stretch
 
@@ -49,28 +49,35 @@
     """The decisions of one gateway; ``handle`` takes what happened and gives what to do."""
 
     def __init__(self, settings: Settings, now: float, seed: int) -> None:
-        super().__init__(len(settings.classes), settings.balancers, now, Flows(HOMES_OVER, MOST_SETS))
+        super().__init__(now, Flows(HOMES_OVER, MOST_SETS))
+        self.asked, self.loads = Flow(now, HOMES_OVER), Flow(now, HOMES_OVER)  # queries, and runs of loads
+        self.sent = Flow(now, settings.rules.overload_time or 1.0)  # work
+        self._retune(settings)
+        self.rng = Random(seed + self.many * settings.index)  # told one seed, many would choose alike
+        self.watch_at = now if settings.asks_for_list else float("inf")
+
+    def _retune(self, settings: Settings) -> None:
+        """Go by these settings from now on; what was learned stays as far as it means the same."""
         self.s, self.widest = settings, max(c.threads for c in settings.classes)
         # Many: one's share of an engine is less than a query, and tells little of what others do there.
         self.many = settings.balancers * self.widest > BOUND * min(kind.cores for kind in settings.kinds)
-        self.rng = Random(seed + self.many * settings.index)  # told one seed, many would choose alike
-        self.draw = self.rng.random if self.many else float  # 0 to 1, or nothing
-        self.order = order = sorted(settings.classes, key=lambda c: (c.aim, c.deadline))  # tightest first
-        self.last = len(order) - 1
-        self.rank, self.tight = {c.name: i for i, c in enumerate(order)}, order[0]
+        order = sorted(settings.classes, key=lambda c: (c.aim, c.deadline))  # tightest first
+        self.last, self.tight = len(order) - 1, order[0]
         self.weight = [(self.last - i) / max(1, self.last) for i in range(len(order))]
         self.gap = GAP_MARGIN * max(1, self.last)  # urgency grows by 1 in the tightest class's deadline
         self.patience = sum(c.aim for c in order) / len(order) / 2  # backlog that is held at full load
-        self.usual = [c.aim * c.threads / (2 + c.aim_stretch) for c in order]
         # This gateway's part of each tenant's allowance; a second deep, and what chance arrivals add to that.
         parts = {t.name: t.allowance / settings.balancers for t in settings.tenants}
-        self.shares = {name: Share(a, 1.0 + a + 2.0 * a ** 0.5, now, HOMES_OVER) for name, a in parts.items()}
+        fresh = {name: Share(a, 1.0 + a + 2.0 * a ** 0.5, self.now, HOMES_OVER) for name, a in parts.items()}
+        self.shares = fresh | {name: s for name, s in self.shares.items() if parts.get(name) == s.part}
+        self.ranked(order, [c.aim * c.threads / (2 + c.aim_stretch) for c in order], settings.kinds)
         runs = (u / c.threads for u, c in zip(self.usual, order, strict=True) if c.holds_data_set)
         self.hold = max(runs, default=0.0)  # so long what stood still behind one keeps others away
-        self.asked, self.loads = Flow(now, HOMES_OVER), Flow(now, HOMES_OVER)  # queries, and runs of loads
-        self.sent = Flow(now, settings.rules.overload_time or 1.0)  # work
-        self.pause = max(settings.tick, self.tight.aim / 16)
-        self.watch_at = now if settings.asks_for_list else float("inf")
+        self.pause, self.sharing = max(settings.tick, self.tight.aim / 16), float(settings.balancers)
+
+    def draw(self) -> float:
+        """0 to 1 where gateways are many, else nothing."""
+        return self.rng.random() if self.many else 0.0
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         """Take the events of one moment, in order, and decide."""
@@ -87,6 +94,9 @@
             elif isinstance(event, ByHand):
                 self.handed(event.engines)
                 self._survey()
+            elif isinstance(event, Retuned):
+                self._retune(event.settings)
+                self._survey()
             elif isinstance(event, Progress) and event.engine in self.nodes:
                 self.nodes[event.engine].heard = now
                 job = self.jobs.get(event.id)
--- a/grebeproxy/config.py
+++ b/grebeproxy/config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -38,6 +38,12 @@
     admin: tuple[str, int] | None = None  # where operators call
     listen_fd: int | None = None  # the descriptor of a listening socket that the platform holds
     folder: Path | None = None  # shared with other processes of this router
+    keys: frozenset[str] = frozenset()  # what the file held, as paths
+
+    def check_against(self, earlier: Config) -> None:
+        """Raise ``ConfigError`` where a key is missing that was there: the file may have been cut short."""
+        for key in sorted(earlier.keys - self.keys):
+            raise ConfigError(f"{key}: missing")
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -85,7 +91,14 @@
     return Config(name=str(told.get("name", "grebeproxy")), listen=_address(told, "listen"),
                   changelog=_address(told, "changelog"), seed=_seed(told.get("seed", "0")),
                   sockets=sockets, memory_mb=memory_mb, known=known, settings=module, limits=wire,
-                  admin=_address(told, "admin") if told.get("admin") else None)
+                  keys=frozenset(_paths(told)), admin=_address(told, "admin") if told.get("admin") else None)
+
+
+def _paths(told: Mapping[str, Any], above: str = "") -> Iterator[str]:
+    for key, value in told.items():
+        yield above + key
+        if above + key in ("limits", "settings", "settings.limits", "settings.obligations"):
+            yield from _paths(value, f"{above}{key}.")
 
 
 def _object(told: dict[str, Any], key: str) -> dict[str, Any]:
--- a/grebeproxy/interface.py
+++ b/grebeproxy/interface.py
@@ -268,6 +268,13 @@
     engines: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """Other settings hold from now on. Queries that are there keep the class they came with."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Query:
     """A client's request; ``due`` is the clock time at which the client gives up."""
@@ -352,8 +359,8 @@
     name: str
 
 
-Event = Union[EngineList, ByHand, Query, Gone, AttemptEnded, AttemptStarted, Progress, Probed, PeerMessage,
-              TimerFired]
+Event = Union[EngineList, ByHand, Retuned, Query, Gone, AttemptEnded, AttemptStarted, Progress, Probed,
+              PeerMessage, TimerFired]
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebeproxy/net/changelog.py
+++ b/grebeproxy/net/changelog.py
@@ -30,8 +30,12 @@
     """Splits the stream into events, however the bytes are cut."""
 
     def __init__(self, settings: Settings, clock: Clock) -> None:
-        self._zones, self._kinds, self._clock = settings.zones, settings.kinds, clock
-        self._buffer = bytearray()
+        self._clock, self._buffer = clock, bytearray()
+        self.retune(settings)
+
+    def retune(self, settings: Settings) -> None:
+        """Go by these settings' lists of zones and kinds from the next event on."""
+        self._zones, self._kinds = settings.zones, settings.kinds
 
     @property
     def partial(self) -> int:
--- a/grebeproxy/net/events.py
+++ b/grebeproxy/net/events.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from typing import Union
 
+from grebeproxy.interface import Settings
 from grebeproxy.net.hands import Calls
 from grebeproxy.net.messages import DoorCall, EngineAnswer, FromClient, News, ToClient, ToEngine
+from grebeproxy.settings import WireLimits
 
 Address = tuple[str, int]
 
@@ -137,9 +139,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Reloaded:
-    """The configuration was read again: where the change log is from now on."""
+    """The configuration was read again: where the change log is, and what holds, from now on."""
 
     changelog: Address
+    settings: Settings
+    limits: WireLimits
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebeproxy/net/msgpack_rpc.py
+++ b/grebeproxy/net/msgpack_rpc.py
@@ -38,13 +38,24 @@
     """
 
     def __init__(self, settings: Settings) -> None:
-        self._effects = {cls.name: cls.effect for cls in settings.classes}
-        self._tenants = {tenant.name for tenant in settings.tenants}
-        self._most_mb = max(kind.memory_mb for kind in settings.kinds) or 1e6
+        self._effects: dict[str, Effect] = {}
+        self._now: dict[str, Effect] = {}
+        self.retune(settings)
         self._buffer = bytearray()
         self._at, self._left = 0, 1  # so much of a message is read, and so many values of it are to come
         self._items = 0
 
+    def retune(self, settings: Settings) -> None:
+        """Go by these settings from the next message on.
+
+        Classes of the settings before can still be read, as clients may not know yet: what becomes of such a
+        request is for the router to say.
+        """
+        before, self._now = self._now, {cls.name: cls.effect for cls in settings.classes}
+        self._effects = before | self._now
+        self._tenants = {tenant.name for tenant in settings.tenants}
+        self._most_mb = max(kind.memory_mb for kind in settings.kinds) or 1e6
+
     @property
     def partial(self) -> int:
         """Bytes of a message that has begun and is not whole yet."""
--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -111,18 +111,25 @@
     gone: bool = False  # kept only until the last connection to it has ended
 
 
+def _on_sockets(settings: api.Settings) -> api.Settings:
+    """Probes, messages between routers and asking for the list have no form on sockets."""
+    return replace(settings, may_probe=False, may_message=False, asks_for_list=False)
+
+
+def _deadlines(settings: api.Settings) -> dict[str, float]:
+    return {cls.name: cls.deadline for cls in settings.classes}
+
+
 class Router:
     """One query router. ``decide`` makes its decision module; tests may put another in its place."""
 
     def __init__(self, settings: api.Settings, limits: WireLimits, *, changelog: Address,
                  bounds: admission.Bounds, seed: int, now: float, known: Iterable[News] = (),
                  decide: Decide = Choice, shared: bool = False) -> None:
-        # Probes, messages between routers and asking for the list have no form on sockets.
-        self.settings = replace(settings, may_probe=False, may_message=False, asks_for_list=False)
-        self.limits, self.now = limits, now
+        self.settings, self.limits, self.now = _on_sockets(settings), limits, now
         self._choice = decide(self.settings, now, seed)
         self._bounds = bounds
-        self._deadlines = {cls.name: cls.deadline for cls in settings.classes}
+        self._deadlines = _deadlines(settings)
         self._requests: dict[str, Request] = {}
         self._bodies = self._paged = 0  # bytes of open statements, and of results that are not whole
         self._clients: dict[int, admission.Client[Request]] = {}
@@ -235,7 +242,8 @@
                 self._doors.pop(conn, None)
             case HandsRead(calls):
                 self._merge_hands(calls)
-            case Reloaded(address):
+            case Reloaded(address, settings, limits):
+                self._retune(_on_sockets(settings), limits)
                 self._move_log(address)
             case StopAsked():
                 if not self._stopping:
@@ -319,6 +327,8 @@
         elif call.txn in self._requests:
             # Guards against a second request under an id that an engine still has: their answers would mix.
             self._fault(client, Failed(call.msg, "txn"))
+        elif call.cls not in self._deadlines:  # a class that has gone: its clients may not know yet
+            self._effects.append(Answer(client.conn, turned_away))
         elif len(client.requests) >= admission.OPEN_PER_CLIENT:
             self._fault(client, turned_away)
         elif (self._done or len(self._requests) >= self.limits.max_open
@@ -720,6 +730,14 @@
 
     # --- operators
 
+    def _retune(self, settings: api.Settings, limits: WireLimits) -> None:
+        """Other settings hold; requests under way keep their class, their deadline and their attempt."""
+        self.limits = limits
+        if settings != self.settings:
+            self.settings, self._deadlines = settings, _deadlines(settings)
+            self._pending.append(api.Retuned(settings))
+            self._effects.append(Note("other settings hold"))
+
     def _open_door(self, conn: int) -> None:
         if len(self._doors) >= admission.MOST_DOORS:
             self._close_door(next(iter(self._doors)))
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -22,6 +22,7 @@
 
 from grebeproxy.choice import Choice
 from grebeproxy.config import Config, ConfigError
+from grebeproxy.interface import Settings
 from grebeproxy.net import admission, changelog, door, events, hands, msgpack_rpc, resp, router
 from grebeproxy.net.handsfile import LOOK, HandsFile
 from grebeproxy.net.listener import Listener, bound, inherited
@@ -49,6 +50,13 @@
         """The messages that these bytes complete."""
 
 
+class Retunable(Protocol):
+    """A codec that goes by settings."""
+
+    def retune(self, settings: Settings) -> None:
+        """Go by these from the next message on."""
+
+
 class Connection(asyncio.Protocol):
     """Decodes what comes in and reports it; what is reported is up to the kinds below."""
 
@@ -463,14 +471,21 @@
         """
         try:
             fresh = read()
+            fresh.check_against(self.config)
         except ConfigError as error:
             self.log(f"configuration kept as it was: {error}")
             return
-        kept = replace(fresh, changelog=self.config.changelog) != self.config
-        self.config = replace(self.config, changelog=fresh.changelog)
+        before, self.config = self.config, replace(
+            self.config, changelog=fresh.changelog, settings=fresh.settings, limits=fresh.limits,
+            known=fresh.known, keys=fresh.keys)
         self.log("configuration read again" + (
-            "; all that differs but changelog takes effect at the next start" if kept else ""))
-        self.feed(events.Reloaded(fresh.changelog))
+            "; all that differs but changelog and settings takes effect at the next start"
+            if replace(fresh, listen_fd=before.listen_fd, folder=before.folder) != self.config else ""))
+        if before.settings != fresh.settings:
+            for connection in (*self.clients.values(), self._log_link):
+                if connection is not None:
+                    cast(Retunable, connection.decoder).retune(fresh.settings)
+        self.feed(events.Reloaded(fresh.changelog, fresh.settings, fresh.limits))
 
     def stop_listening(self) -> None:
         """Take no more connections."""
--- a/grebeproxy/settings.py
+++ b/grebeproxy/settings.py
@@ -26,6 +26,14 @@
     return (milliseconds or 0.0) / 1000.0
 
 
+def _above_zero(fields: Fields, name: str, where: str) -> float:
+    """A number that has to be there. Raises KeyError, or ValueError naming the field."""
+    value = fields[name]
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < float("inf"):
+        raise ValueError(f"{where}{name}: must be a number above 0")
+    return float(value)
+
+
 def settings_from(profile: Fields) -> api.Settings:
     """The settings of one dispatcher."""
     family, limits = profile.get("familyInfo", {}), profile["limits"]
@@ -43,6 +51,11 @@
     for field, values, wanted in lists:
         if len(values) != len(wanted):
             raise ValueError(f"familyInfo.{field}: {len(values)} values for {len(wanted)}")
+    for i, c in enumerate(categories):
+        for name in ("aim", "deadline"):
+            _above_zero(c, name, f"categories.{i}.")
+    if _above_zero(limits, "mostTries", "limits.") != int(limits["mostTries"]):
+        raise ValueError("limits.mostTries: must be a whole number")
     classes = tuple(
         api.QueryClass(
             name=c["name"], aim=seconds(c["aim"]), deadline=seconds(c["deadline"]),
@@ -76,7 +89,7 @@
             cross_zone=prices.get("crossZone", 0.0), waste=prices.get("waste", 0.0),
             probe=prices.get("probe", 0.0), late_fail=prices.get("lateFail", 0.0), peer=prices.get("peer",
             0.0)),
-        tick=seconds(profile.get("round")), max_attempts=limits["mostTries"],
+        tick=seconds(profile.get("round")), max_attempts=int(limits["mostTries"]),
         max_retry_after=seconds(limits["maxRetryAfter"]) if limits.get("retryAfter") else None,
         connect_timeout=seconds(limits["connectTimeout"]) if limits.get("connectTimeout") else None,
         may_cancel=bool(limits.get("cancel")), may_probe=bool(limits.get("probing")),
--- a/grebeproxy/state.py
+++ b/grebeproxy/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import defaultdict, deque
 from collections.abc import Iterable
 from hashlib import blake2b
@@ -71,7 +72,7 @@
         job.node, job.sent, job.cancelled, job.attempts = self, now, False, job.attempts + 1
         job.ends_at = 0.0
         self.out[job.id] = job
-        self._book(job, 1)
+        self.book(job, 1)
         if job.query.data_set is not None:
             self.warm.pop(job.query.data_set, None)
             self.warm[job.query.data_set] = None
@@ -82,7 +83,7 @@
         """Book an attempt that has ended."""
         del self.out[job.id]
         job.node = None
-        self._book(job, -1)
+        self.book(job, -1)
 
     def restarted(self, since: float, now: float) -> None:
         """Book a new process of the engine."""
@@ -112,7 +113,8 @@
         late = sum(max(0.0, now - job.sent - job.expected) for job in self.out.values())
         self.lag = self.best * (1.0 + late / sum(j.expected for j in self.out.values())) if late else 0.0
 
-    def _book(self, job: Job, sign: int) -> None:
+    def book(self, job: Job, sign: int) -> None:
+        """Book an attempt's threads and memory, or take them off again."""
         self.threads += sign * job.cls.threads
         self.long_threads += sign * job.cls.threads if job.rank else 0
         self.granted += sign * job.memory
@@ -229,7 +231,7 @@
 
     def __init__(self, part: float, depth: float, now: float, over: float) -> None:
         super().__init__(part, depth, now)
-        self._part, self._asked = part, Flow(now, over)
+        self.part, self._asked = part, Flow(now, over)
 
     def take(self, now: float, spend: float) -> bool:
         """Count a first try in, and tell whether it is within the share."""
@@ -238,7 +240,7 @@
 
     def busier(self, now: float) -> float:
         """What is asked, over the part."""
-        return self._asked.rate(now) / self._part if self._part else 1.0
+        return self._asked.rate(now) / self.part if self.part else 1.0
 
 
 class Flows(dict[int | None, Flow]):
@@ -259,11 +261,19 @@
 class Books:
     """What one gateway has on record: queries by rank of class, engines, and what it has learned."""
 
-    def __init__(self, classes: int, gateways: int, now: float, sets: Flows) -> None:
+    def __init__(self, now: float, sets: Flows) -> None:
         self.now = self.began = self.surveyed = now
         self.out: list[Action] = []
         self.armed = False
-        self.held: list[list[Job]] = [[] for _ in range(classes)]
+        self.order: list[QueryClass] = []  # tightest first; a class's place here is its rank
+        self.rank: dict[str, int] = {}
+        self.usual: list[float] = []  # work of a usual query, by rank like what follows
+        self.held: list[list[Job]] = []
+        self.pools: list[float] = []  # how slow the engines are to each, as priorities there part them
+        self.seen: list[int] = []
+        self.costs: list[Ratio] = []
+        self.memories: list[Ratio] = []
+        self.shares: dict[str, Share] = {}  # by tenant
         self.jobs: dict[str, Job] = {}
         self.turns: defaultdict[str, list[Job]] = defaultdict(list)  # by key, of classes in order
         self.rest: dict[str, float] = {}
@@ -279,21 +289,47 @@
         self.near: set[str] = set()  # the engines that we keep to, where gateways are many
         self.deal: dict[str, tuple[float, float]] = {}  # those as parts of one, by what they can do now
         self.part = 1.0  # our traffic over the mean gateway's
-        self.sharing = float(gateways)  # that share an engine
+        self.sharing = 1.0  # gateways that share an engine, where they are many
         self.pool = 1.0  # how slow the engines are, over all answers
         self.fill = 0.0  # part of our share of the memory that is granted, over some time
         self.long_lately = 0.0  # our threads of long classes that are out, over some time
         self.crowd = 1.0  # as the pool's, but not fading
         self.paces = [1.0, 1.0]  # how slow warm engines and cold ones are for what they can do
-        self.pools = [1.0] * classes  # the same by class, as priorities at the engines part them
-        self.seen = [0] * classes
-        self.costs, self.memories = [Ratio() for _ in range(classes)], [Ratio() for _ in range(classes)]
         self.first_left = Majority()  # part of the deadline that clients' first tries have
         self.faults = 0.0
         self.sets = sets  # queries by data sets asked for
         self.homes: dict[int, tuple[float, dict[str, int]]] = {}  # home engines by data set, of this moment
         self.taken, self.extra = Window(), Window()  # queries, and attempts beyond a first
 
+    def ranked(self, order: list[QueryClass], usual: list[float], kinds: tuple[Kind, ...]) -> None:
+        """Book the classes in their order. What was learned of one stays with its name; queries keep theirs.
+
+        ``usual`` is what work is taken for usual at first; it stands too where a class means other work now.
+        """
+        places = [self.rank.get(c.name) for c in order]
+        same = [place if place is not None and (self.order[place].aim, self.order[place].threads) == (
+            c.aim, c.threads) else None for place, c in zip(places, order, strict=True)]
+        self.usual = [u if at is None else self.usual[at] for at, u in zip(same, usual, strict=True)]
+        self.pools = [1.0 if at is None else self.pools[at] for at in places]
+        self.seen = [0 if at is None else self.seen[at] for at in places]
+        self.costs = [Ratio() if at is None else self.costs[at] for at in places]
+        self.memories = [Ratio() if at is None else self.memories[at] for at in places]
+        self.order, self.rank = order, {c.name: i for i, c in enumerate(order)}
+        ends = [(c.aim, c.deadline) for c in order]
+        for job in self.jobs.values():
+            at = min(len(order) - 1, bisect_left(ends, (job.cls.aim, job.cls.deadline)))
+            if job.node is not None:
+                job.node.book(job, -1)
+            job.rank = self.rank.get(job.cls.name, at)
+            if job.node is not None:
+                job.node.book(job, 1)
+        waiting = [job for queue in self.held for job in queue]
+        self.held = [[job for job in waiting if job.rank == rank] for rank in range(len(order))]
+        sizes = {kind.name: kind for kind in kinds}
+        for e in self.nodes.values():
+            if e.entry.kind in sizes:
+                e.cores, e.memory = sizes[e.entry.kind].cores, sizes[e.entry.kind].memory_mb
+
     def listed(self, news: EngineList, kinds: tuple[Kind, ...]) -> None:
         """Book what the list says of engines; one that has started since is cold, and is tried at once."""
         names = {entry.id for entry in news.engines}
