A router that ends takes what it can answer before it is forced to

Router._take refused after SIGTERM whatever was due later than SIGKILL; reports and loads are allowed 20 s and so were all turned away on every connection that stays open, though they take 2 to 4 s.

Change: such a request is taken with the end as its due time, and the module gives up what cannot be done by then. Within 0.25 s of the end nothing is taken. What was taken before and is allowed longer is answered at the end instead of being cut by SIGKILL.

--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -36,6 +36,7 @@
 ACCEPT_AFTER_STOP, SERVE_AFTER_STOP = 0.5, 0.7  # seconds; new connections come for 0.4 of them
 # From a stop until it is forced: the longest deadline, or 3 s where it is shorter, and 0.7 s more; 5.7 s at
 # most where another process takes over. What would be answered later, with some margin, is not taken.
+LEAST_LIMIT = 0.25  # seconds; with less left nothing is taken any more
 KILL_LEAST, KILL_SHARED, KILL_AFTER = 3.0, 5.0, 0.6
 
 class Module(Protocol):
@@ -147,7 +148,7 @@
         self._log = follower.Follower(changelog, now)
         self._shared = shared  # clients come on a socket that another process hears as well
         self._listening = self._stopping = self._ending = self._done = False
-        self._last_due = float("inf")
+        self._last_due = self._takes_until = float("inf")
         self._drained: float | None = None  # since when operators want clients to go elsewhere
         self._hands, self._told_out = Hands(), frozenset[str]()
         self._doors: dict[int, float] = {}  # operators' connections, the oldest first
@@ -183,7 +184,7 @@
                 client.parted = self.now
                 self._effects.append(PartClient(client.conn))
         if self._ending and not self._done and not any(r.owed for r in self._requests.values()):
-            self._done = True
+            self._done, self._takes_until = True, self.now
             self._effects.append(Exit())
         for link, commands in self._commands.items():
             self._effects.append(Write(link, tuple(commands)))
@@ -331,18 +332,15 @@
             self._effects.append(Answer(client.conn, turned_away))
         elif len(client.requests) >= admission.OPEN_PER_CLIENT:
             self._fault(client, turned_away)
-        elif (self._done or len(self._requests) >= self.limits.max_open
+        elif (self.now >= self._takes_until or len(self._requests) >= self.limits.max_open
               or self._bodies + len(call.body) > self._bounds.bodies):
             self._effects.append(Answer(client.conn, turned_away))
         else:
             # No longer than the class's own deadline. Guards against limits of hours: what is kept for a
             # request until then would pile up.
-            limit = min(call.limit, self._deadlines[call.cls])
-            request = Request(call, client.conn, self.now + limit - TRANSIT)
-            drained = self._drained is not None and self.now > self._drained + admission.DRAIN_TAKES
-            if drained or request.due + OVERDUE > self._last_due:
-                self._effects.append(Answer(client.conn, turned_away))
-                return
+            due = self.now + min(call.limit, self._deadlines[call.cls]) - TRANSIT
+            # One that ends answers before it is forced to: the module gives up what cannot be done by then.
+            request = Request(call, client.conn, min(due, self._last_due))
             self._requests[call.txn] = client.requests[call.msg] = request
             self._bodies += len(call.body)
             self._at(request.due + OVERDUE, self._overdue, call.txn, request.due)
@@ -765,9 +763,10 @@
             case Standby():
                 if self._drained is None:
                     self._drained = self.now
+                    self._takes_until = min(self._takes_until, self.now + admission.DRAIN_TAKES)
                 return True, "clients are sent away"
             case Active() if not self._stopping:
-                self._drained = None
+                self._drained, self._takes_until = None, float("inf")
                 return True, "clients may come"
         return False, "stopping" if isinstance(call, Active) else "not a call"
 
@@ -809,7 +808,9 @@
         self._stopping = True
         longest = max(self._deadlines.values())
         forced = min(longest, KILL_SHARED) if self._shared else max(longest, KILL_LEAST)
-        self._last_due = self.now + forced + KILL_AFTER
+        self._last_due = self.now + forced + KILL_AFTER - OVERDUE
+        self._takes_until = min(self._takes_until, self._last_due - LEAST_LIMIT)
+        self._at(self._last_due, self._answer_all)
         if self._shared:  # what nobody has taken yet is there for whoever takes over
             self._stop_listening()
         else:
@@ -819,5 +820,11 @@
     def _stop_listening(self) -> None:
         self._effects.append(StopListening())
 
+    def _answer_all(self) -> None:
+        """Guards what was taken before the stop, and is allowed longer than the program has left."""
+        for request in [request for request in self._requests.values() if request.owed]:
+            self._answer(request, Failed(request.call.msg))
+            self._abandon(request)
+
     def _end_when_answered(self) -> None:
         self._ending = True
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,264 @@
+"""Random orders of what operators, discovery, engines and clients do to the reducer, against a model."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+
+from conftest import LOAD, SHORT, make_settings
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from grebeproxy import interface as api
+from grebeproxy.net import admission, events
+from grebeproxy.net import messages as say
+from grebeproxy.net.router import Router
+from grebeproxy.settings import WireLimits
+
+ENGINES = ("e1", "e2", "e3")
+LIMITS = WireLimits(connect_timeout=0.25, idle_timeout=30.0, multiplex=100, max_open=1000)
+ORDERED = replace(LOAD, in_order=True)
+BASE = make_settings(classes=(SHORT, ORDERED))
+VARIANTS = (
+    BASE, replace(BASE, max_attempts=1), replace(BASE, classes=(ORDERED,)),
+    replace(BASE, classes=(replace(SHORT, effect=api.Effect.UNSAFE), ORDERED, replace(SHORT, name="new"))))
+
+
+class Operating(RuleBasedStateMachine):
+    """The model keeps what is open, what is out and what may not be sent to."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.now, self.number, self.wake = 100.0, 0, float("inf")
+        self.out_by_hand: set[str] = set()
+        self.listed = dict.fromkeys(ENGINES, api.EngineState.UP)
+        self.clients: dict[int, dict[int, str]] = {}  # open requests, by connection that is not ended
+        self.calls: dict[str, say.Call] = {}
+        self.links: dict[int, str] = {}
+        self.up: set[int] = set()
+        self.out: dict[str, int] = {}  # link by request
+        self.first_sent: dict[str, list[str]] = {}  # by key, and as they were taken
+        self.taken: dict[str, list[str]] = {}
+        self.serves = True
+        self.exited = self.stopped = False
+        self.door: list[bool] = []
+        self.settings = BASE
+        engines = tuple(api.Engine(engine, "medium") for engine in ENGINES)
+        known = say.News(1, api.EngineList(api.ListKind.FULL, engines, 1), self.addresses())
+        self.router = Router(BASE, LIMITS, changelog=("127.0.0.1", 1), bounds=admission.bounds(256, 96.0),
+                             seed=1, now=90.0, known=[known])
+        self.seq = 1
+        self.carry_out(self.router.start(90.0))
+        self.do(events.LogSaid(say.News(1)))
+
+    def addresses(self) -> dict[str, tuple[str, int]]:
+        return {engine: ("127.0.0.1", 9000 + n) for n, engine in enumerate(ENGINES)}
+
+    def do(self, *told: events.Event) -> None:
+        self.carry_out(self.router.step(self.now, told))
+
+    def carry_out(self, effects: list[events.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case events.OpenLink(link, address):
+                    self.links[link] = ENGINES[address[1] - 9000]
+                    assert self.may_serve(self.links[link])
+                case events.Write(link, commands):
+                    for command in commands:
+                        self.written(link, command)
+                case events.CloseLink(link):
+                    self.lost(link)
+                case events.Answer(conn, message):
+                    self.answered(conn, message)
+                case events.CloseClient(conn) | events.PartClient(conn):
+                    # One that was told of the end and does not close is closed on a little later.
+                    assert not self.clients.pop(conn, {}), "closed on with a request open"
+                case events.AnswerDoor(_, done):
+                    self.door.append(done)
+                case events.Wake(at):
+                    self.wake = at
+                case events.Exit():
+                    assert not any(self.clients.values())
+                    self.exited = True
+                case events.Note(text):
+                    assert "Traceback" not in text and "no answer was decided" not in text
+
+    def may_serve(self, engine: str) -> bool:
+        return engine not in self.out_by_hand and self.listed[engine] is api.EngineState.UP
+
+    def written(self, link: int, command: say.ToEngine) -> None:
+        engine = self.links[link]
+        match command:
+            case say.Run(txn):
+                assert self.may_serve(engine), f"sent to {engine}"
+                assert txn not in self.out, "two attempts at once"
+                key = self.calls[txn].key
+                if key is not None:
+                    assert not any(self.calls[other].key == key for other in self.out), "two of a key at once"
+                    sent = self.first_sent.setdefault(key, [])
+                    if txn not in sent:
+                        sent.append(txn)
+                self.out[txn] = link
+            case say.Stop(txn) | say.End(txn):
+                self.out.pop(txn, None)
+            case say.Hello():
+                assert self.may_serve(engine), f"{engine} was asked"
+
+    def lost(self, link: int) -> None:
+        self.links.pop(link, None)
+        self.up.discard(link)
+        self.out = {txn: at for txn, at in self.out.items() if at != link}
+
+    def answered(self, conn: int, message: say.ToClient) -> None:
+        if isinstance(message, say.Pong):
+            assert message.serves is (self.serves and not self.stopped)
+            return
+        assert message.msg in self.clients[conn], "an answer that nobody is owed"
+        txn = self.clients[conn].pop(message.msg)
+        if isinstance(message, say.Served):
+            self.out.pop(txn, None)
+
+    # --- what happens
+
+    @rule(step=st.sampled_from([0.006, 0.05, 0.4, 1.0, 3.0]))
+    def wait(self, step: float) -> None:
+        self.time_passes(step)
+
+    def time_passes(self, step: float) -> None:
+        until = self.now + step
+        while self.now < until:
+            self.now = min(until, self.now + 1.0, max(self.now, self.wake))
+            self.wake = float("inf")
+            self.do(events.Woken(), events.LogSaid(say.News(self.seq)))
+
+    @rule(conn=st.integers(1, 3), cls=st.sampled_from(["short", "load", "new"]), key=st.sampled_from("ab"))
+    def ask(self, conn: int, cls: str, key: str) -> None:
+        if self.exited:
+            return
+        if conn not in self.clients:
+            self.clients[conn] = {}
+            self.do(events.ClientClosed(conn), events.ClientOpened(conn))
+        self.number += 1
+        txn = f"{self.number:016x}"
+        kept = key if cls == "load" else None
+        call = say.Call(self.number, txn, cls, 2.0, b"x", token=txn, key=kept, work=0.1)
+        self.clients[conn][self.number] = txn
+        self.calls[txn] = call
+        if kept is not None:
+            self.taken.setdefault(kept, []).append(txn)
+        self.do(events.ClientSaid(conn, call))
+
+    @rule(conn=st.integers(1, 3))
+    def front_asks(self, conn: int) -> None:
+        if conn in self.clients:
+            self.do(events.ClientSaid(conn, say.Ping(0)))
+
+    @rule(data=st.data())
+    def connected(self, data: st.DataObject) -> None:
+        if waiting := sorted(self.links.keys() - self.up):
+            link = data.draw(st.sampled_from(waiting))
+            self.up.add(link)
+            self.do(events.LinkOpened(link))
+
+    @rule(data=st.data(), word=st.sampled_from([say.Word.OK, say.Word.OK, say.Word.ERROR, say.Word.FULL]))
+    def engine_answers(self, data: st.DataObject, word: say.Word) -> None:
+        if self.out:
+            txn = data.draw(st.sampled_from(sorted(self.out)))
+            link = self.out.pop(txn)
+            self.do(events.LinkSaid(link, say.EngineAnswer(txn, word, b"row\n")))
+
+    @rule(data=st.data())
+    def engine_leaves(self, data: st.DataObject) -> None:
+        if self.links:
+            link = data.draw(st.sampled_from(sorted(self.links)))
+            self.lost(link)
+            self.do(events.LinkClosed(link))
+
+    @rule(engine=st.sampled_from([*ENGINES, "nobody"]), out=st.booleans(), upgrade=st.booleans())
+    def by_hand(self, engine: str, out: bool, upgrade: bool) -> None:
+        self.door.clear()
+        gone = engine != "nobody" and self.listed[engine] is api.EngineState.GONE
+        if engine != "nobody" and not (out and gone and not upgrade):  # nobody has one that has gone
+            (self.out_by_hand.add if out else self.out_by_hand.discard)(engine)
+        told: say.DoorCall = say.TakeOut(engine) if out else say.TakeBack(engine)
+        if upgrade and engine != "nobody":  # the call came to the other process
+            number = 1 + max((number for number, _ in self.router._hands.calls.values()), default=0)
+            self.do(events.HandsRead({engine: (number, out)}))
+        else:
+            self.do(events.DoorOpened(1), events.DoorSaid(1, told))
+            if engine == "nobody" or not gone:
+                assert self.door == [engine != "nobody"]
+
+    @rule(engine=st.sampled_from(ENGINES), state=st.sampled_from(list(api.EngineState)), whole=st.booleans())
+    def list_comes(self, engine: str, state: api.EngineState, whole: bool) -> None:
+        if engine in self.out_by_hand and state is api.EngineState.GONE:
+            return
+        self.seq += 1
+        self.listed[engine] = state
+        named = ENGINES if whole else (engine,)
+        entries = tuple(api.Engine(name, "medium", state=self.listed[name]) for name in named)
+        how = api.ListKind.FULL if whole else api.ListKind.CHANGES
+        addresses = {name: self.addresses()[name] for name in named}
+        self.do(events.LogSaid(say.News(self.seq, api.EngineList(how, entries, self.seq), addresses)))
+
+    @rule(settings=st.sampled_from(VARIANTS))
+    def reload(self, settings: api.Settings) -> None:
+        self.do(events.Reloaded(("127.0.0.1", 1), settings, LIMITS))
+
+    @rule(away=st.booleans())
+    def drain(self, away: bool) -> None:
+        if not self.stopped:
+            self.serves = not away
+        self.do(events.DoorOpened(2), events.DoorSaid(2, say.Standby() if away else say.Active()))
+
+    @rule()
+    def stop(self) -> None:
+        if self.number > 6:
+            self.stopped = True
+            self.do(events.StopAsked())
+
+    # --- what always holds
+
+    @invariant()
+    def keys_keep_their_order(self) -> None:
+        for key, sent in getattr(self, "first_sent", {}).items():
+            assert sent == [txn for txn in self.taken[key] if txn in sent]
+
+    def teardown(self) -> None:
+        if not hasattr(self, "router"):
+            return
+        self.time_passes(6.0)
+        assert not any(self.clients.values()), "a request with no answer"
+        assert not self.stopped or self.exited
+
+
+TestOperating: Any = Operating.TestCase
+TestOperating.settings = hypothesis_settings(max_examples=150, stateful_step_count=60)
+
+
+class Silent:
+    """In the module's place: decides nothing."""
+
+    def __init__(self, settings: api.Settings, now: float, seed: int) -> None:
+        pass
+
+    def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
+        return []
+
+
+def test_a_router_that_another_takes_over_from_answers_all_before_it_is_forced_to() -> None:
+    """Deadlines are 20 s here, but it is forced to end 5.7 s after it was told."""
+    router = Router(BASE, LIMITS, changelog=("127.0.0.1", 1), bounds=admission.bounds(256, 96.0), seed=1,
+                    now=0.0, decide=Silent, shared=True)
+    router.start(0.0)
+    asked = say.Call(1, "a" * 16, "load", 20.0, b"x", token="t")
+    router.step(0.3, [events.ClientOpened(1), events.ClientSaid(1, asked)])
+    assert events.StopListening() in router.step(0.4, [events.StopAsked()])
+    late = router.step(5.8, [events.ClientSaid(1, replace(asked, msg=2, txn="b" * 16))])
+    assert events.Answer(1, say.Refused(2, 1.0)) in late
+    assert events.Answer(1, say.Failed(1)) not in late
+    ended = router.step(6.0, [events.Woken()])
+    assert events.Answer(1, say.Failed(1)) in ended
+    assert events.PartClient(1) in ended and events.Exit() in ended
