--- a/benchmarks/decide.py
+++ b/benchmarks/decide.py
@@ -2,8 +2,8 @@
 
     python benchmarks/decide.py
 
-Two gateways share the engines; each query is taken, sent and answered before the next one comes. The figure is the
-least of five runs of a thousand queries each.
+Two gateways share the engines; each query is taken, sent and answered before the next one comes. The figure
+is the least of five runs of a thousand queries each.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/grebeproxy/membership/model.py
@@ -0,0 +1,179 @@
+"""What routers say of each other, as plain values. Times are seconds on the local monotonic clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+from typing import Union
+
+Address = tuple[str, int]
+
+
+class State(IntEnum):
+    """What is held of a member. The higher one counts where all else is equal."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Fact:
+    """One statement on a member.
+
+    ``instance`` tells processes of one name apart; only the member itself raises its ``incarnation``, to
+    refute what is said of it. ``by`` is who came to suspect it.
+    """
+
+    name: str
+    address: Address
+    instance: int
+    incarnation: int
+    state: State
+    by: str = ""
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Of two facts on one name the one of higher rank counts, so merging is the same in any order."""
+        return self.incarnation, self.instance, int(self.state)
+
+
+class Kind(IntEnum):
+    """What a message is for."""
+
+    PING = 1  # are you there?
+    ACK = 2  # yes, under the same number
+    ASK = 3  # ping ``target`` for me
+    NACK = 4  # I am there, but had no answer from it
+    GOSSIP = 5  # only facts
+    SYNC = 6  # my digest; if yours differs, send me all your facts, and your digest
+    DIGEST = 7  # the answer's end: if yours still differs, send me all of yours
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One datagram. ``sender`` is the fact of the one who sends it, with the address where it is reached."""
+
+    kind: Kind
+    sender: Fact
+    number: int = 0
+    target: str = ""
+    digest: int = 0
+    facts: tuple[Fact, ...] = ()
+
+
+class Condition(Enum):
+    """What a view allows; the order is that of what may be done."""
+
+    ALONE = "alone"  # nobody else is known to be there, or this process has just woken
+    MINORITY = "minority"  # half of the configured fleet or fewer, or this process distrusts itself
+    QUORATE = "quorate"  # more than half of the configured fleet
+    SETTLED = "settled"  # that, nobody suspected, and unchanged for some time
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Who is there as seen from here. ``epoch`` grows with every change of the members or the condition."""
+
+    epoch: int
+    members: tuple[str, ...]  # names, sorted, this one among them
+    condition: Condition
+    since: float  # when the condition became what it is
+
+    @property
+    def quorate(self) -> bool:
+        """More than half of the configured fleet is there."""
+        return self.condition in (Condition.QUORATE, Condition.SETTLED)
+
+
+# --- events
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A message that came, checked by the codec."""
+
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    """The time asked for with ``Wake`` has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveAsked:
+    """This router ends, and says so."""
+
+
+Event = Union[Heard, Woken, LeaveAsked]
+
+
+# --- effects
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """Send a message."""
+
+    to: Address
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Send ``Woken`` at that time; replaces an earlier ``Wake``."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """There is a new view."""
+
+    view: View
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """Something that staff may want to know: a word and the names it is about."""
+
+    word: str
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Displaced:
+    """Another process of this name is there and goes on; this one has to say nothing more."""
+
+
+Effect = Union[Say, Wake, Changed, Told, Displaced]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """How one router takes part. Times in seconds; wrong values raise ``ValueError`` naming the field."""
+
+    name: str
+    address: Address  # where the others reach it
+    fleet: int  # routers that are configured: more than half of these are a quorum
+    seeds: tuple[Address, ...] = ()
+    period: float = 0.5  # between probes
+    timeout: float = 0.15  # for a direct answer
+    helpers: int = 3  # that are asked to probe where it does not come
+    settle: float = 3.0  # without change, until a view counts as settled
+
+    def __post_init__(self) -> None:
+        """Refuse what cannot be meant."""
+        if not 1 <= len(self.name.encode()) <= 32:
+            raise ValueError("name: must have 1 to 32 bytes")
+        if self.fleet < 1:
+            raise ValueError("fleet: must be 1 or more")
+        for field in ("period", "timeout", "settle"):
+            if not 0.0 < getattr(self, field) < 3600.0:
+                raise ValueError(f"{field}: must be above 0 and below 3600")
+        if self.timeout >= self.period:
+            raise ValueError("timeout: must be below period")
+        if not 0 <= self.helpers <= 16:
+            raise ValueError("helpers: must be 0 to 16")
