--- a/tests/test_membership_wire.py
+++ b/tests/test_membership_wire.py
@@ -94,12 +94,13 @@
     assert other.open(packet) == [1]
 
     def by_hand(version: int, body: list[object]) -> bytes:
-        written = msgpack.packb(body)
+        written: bytes = msgpack.packb(body)
         return bytes([version]) + one._digest(version, written) + written
 
     assert other.open(by_hand(1, [5, 1, ["no mark"]])) == ["no mark"]
     assert other.open(by_hand(9, [5, 2, 7, ["p"], "what a later version adds"])) == ["p"]
-    unusable: list[tuple[int, list[object]]] = [(0, [5, 3, 7, []]), (2, [5]), (2, [-5, 3, 7, []]), (2, ["5", 3, 7, []])]
+    unusable: list[tuple[int, list[object]]] = [
+        (0, [5, 3, 7, []]), (2, [5]), (2, [-5, 3, 7, []]), (2, ["5", 3, 7, []])]
     for version, body in unusable:
         with pytest.raises(WireError):
             other.open(by_hand(version, body))
