Leases with fencing tokens, from a majority of the configured fleet

Need: a view may be seconds old on both sides of a cut, so what only one may do needs the votes of a majority, and what a holder that stood still sends late has to be refused where it takes effect.

--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,125 @@
+"""Leases: never two holders, tokens that only grow, and a holder again once all is well."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+from voters import LEASE, LENGTH, Voters
+
+from grebeproxy.membership import lease as leases
+from grebeproxy.membership.lease import Claim, Fence, Leases, Vote, VoteHeard, Word
+
+SEEDS = range(150)
+
+
+def troubled(seed: int) -> Voters:
+    """A minute of trouble, then ten seconds of peace."""
+    voters = Voters(seed, 3 + 2 * (seed % 4))
+    voters.run(5.0)
+    for _ in range(40):
+        voters.trouble()
+        voters.run(voters.rng.uniform(0.1, 3.0))
+    voters.heal()
+    voters.frozen_until = [0.0] * voters.n
+    for n in range(voters.n):
+        voters.do(n, leases.ViewSeen(voters.view(n)))
+    return voters
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_never_two_and_somebody_again(seed: int) -> None:
+    voters = troubled(seed)
+    before = len(voters.acts)
+    voters.run(12.0)
+    assert not voters.faults
+    assert len(voters.acts) > before + 20
+
+
+@pytest.mark.parametrize("n", [1, 3, 5, 9, 50])
+def test_one_of_many_that_begin_at_once_holds_it_soon_and_keeps_it(n: int) -> None:
+    voters = Voters(1, n)
+    voters.run(3 * LENGTH)
+    held = len(voters.acts)
+    voters.run(10 * LENGTH)
+    assert len({act[1] for act in voters.acts[held:]}) == 1 and len(voters.acts) - held > 150
+
+
+def mutants() -> list[tuple[str, Any, str, Any]]:
+    """Each rule that keeps it safe, taken away."""
+    answer = Leases._answer
+
+    def counts_from_the_answer(self: Leases, lease: str, claim: Claim, voter: str) -> None:
+        claim.asked_at = self.now
+        COUNTED(self, lease, claim, voter)
+
+    def votes_at_once(self: Leases, event: VoteHeard) -> Vote:
+        self._votes_from = 0.0
+        return answer(self, event)
+
+    def votes_twice(self: Leases, event: VoteHeard) -> Vote:
+        self._promises.pop(event.vote.lease, None)
+        return answer(self, event)
+
+    def takes_any_answer(self: Leases, event: VoteHeard) -> None:
+        claim = self._claims.get(event.vote.lease)
+        if event.vote.word is Word.GRANT and claim is not None:
+            event = replace(event, vote=replace(event.vote, asked=claim.asked, ballot=claim.ballot))
+        HEARD(self, event)
+
+    def holds_on(self: Leases, lease: str, now: float) -> Any:
+        claim = self._claims.get(lease)
+        return claim.token if claim is not None else None
+
+    return [("counts from the answer", Leases, "_counted", counts_from_the_answer),
+            ("votes right after its start", Leases, "_answer", votes_at_once),
+            ("votes for two", Leases, "_answer", votes_twice),
+            ("takes answers to an earlier asking", Leases, "_heard", takes_any_answer),
+            ("does not look at the clock before it acts", Leases, "token", holds_on),
+            ("the fence admits all", Fence, "admit", lambda self, lease, token: True)]
+
+
+COUNTED, HEARD = Leases._counted, Leases._heard
+
+
+@pytest.mark.parametrize("mutant", mutants(), ids=lambda mutant: mutant[0])
+def test_without_any_one_of_its_rules_it_is_not_safe(
+        mutant: tuple[str, Any, str, Any], monkeypatch: pytest.MonkeyPatch) -> None:
+    _, owner, name, instead = mutant
+    monkeypatch.setattr(owner, name, instead)
+    assert any(troubled(seed).faults for seed in SEEDS)
+
+
+def test_a_token_that_is_too_low_where_it_takes_effect_is_raised() -> None:
+    voters = Voters(1, 3)
+    voters.fence.admit(LEASE, (1000, "n9"))  # all have restarted since, and remember nothing
+    voters.run(6 * LENGTH)
+    assert voters.acts and voters.acts[0][2][0] > 1000 and voters.refused
+
+
+def test_what_is_given_back_is_free_at_once() -> None:
+    voters = Voters(1, 3)
+    voters.run(3 * LENGTH)
+    holder, at = voters.acts[-1][1], voters.now
+    voters.do(holder, leases.Wanted(LEASE, False))
+    voters.run(LENGTH)
+    assert any(act[1] != holder for act in voters.acts if at < act[0] < at + 0.6 * LENGTH)
+
+
+@pytest.mark.parametrize("ballot", [-1, 0, 2 ** 60])
+def test_a_ballot_that_cannot_be_gets_no_vote(ballot: int) -> None:
+    vote = Vote(Word.ASK, "x", ballot)
+    voter = Leases("n0", 1, 3, LENGTH, Random(1), -100.0)
+    [told] = voter.step(0.0, [VoteHeard("n1", 2, vote)])
+    assert isinstance(told, leases.Tell) and told.vote == replace(vote, word=Word.DENY, ballot=0)
+
+
+def test_leases_that_are_asked_for_are_bounded() -> None:
+    voter = Leases("n0", 1, 3, LENGTH, Random(1), -100.0)
+    for number in range(500):
+        voter.step(0.0, [VoteHeard("n1", 2, Vote(Word.ASK, f"x{number}", 1))])
+    assert len(voter._promises) == leases.MOST_LEASES
+    voter.step(1000.0, [])
+    assert not voter._promises
