A planned restart is forced after 3.7 s: answer all before, take nothing that would end later

The log has "6 balancer(s) stopped" 3.5 s after each SIGTERM.

What is open at the end is answered then: refused where it may be repeated, so that its client may ask elsewhere, else failed.

Ruled out: connections left in the queue of the listener (0 not taken), a router that is not ready (0.2 s).

--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -34,10 +34,10 @@
 MOST_RESULT = 48_000  # bytes
 IDLE_SHARE = 0.8  # of the engines' idle time-out: closing first keeps requests from crossing their close
 ACCEPT_AFTER_STOP, SERVE_AFTER_STOP = 0.5, 0.7  # seconds; new connections come for 0.4 of them
-# From a stop until it is forced: the longest deadline, or 3 s where it is shorter, and 0.7 s more; 5.7 s at
-# most where another process takes over. What would be answered later, with some margin, is not taken.
+# From a stop until it is forced: the longest deadline, but no more than 3 s of it, or 5 s where another
+# process takes over, and 0.7 s more. What would be answered later than that, with some margin, is not taken.
 LEAST_LIMIT = 0.25  # seconds; with less left nothing is taken any more
-KILL_LEAST, KILL_SHARED, KILL_AFTER = 3.0, 5.0, 0.6
+KILL_ALONE, KILL_SHARED, KILL_AFTER = 3.0, 5.0, 0.6
 
 class Module(Protocol):
     """A decision module."""
@@ -807,7 +807,7 @@
         """Leave: clients are moved off between requests, what was taken is answered, then it ends."""
         self._stopping = True
         longest = max(self._deadlines.values())
-        forced = min(longest, KILL_SHARED) if self._shared else max(longest, KILL_LEAST)
+        forced = min(longest, KILL_SHARED if self._shared else KILL_ALONE)
         self._last_due = self.now + forced + KILL_AFTER - OVERDUE
         self._takes_until = min(self._takes_until, self._last_due - LEAST_LIMIT)
         self._at(self._last_due, self._answer_all)
@@ -822,8 +822,10 @@
 
     def _answer_all(self) -> None:
         """Guards what was taken before the stop, and is allowed longer than the program has left."""
+        safe = {cls.name for cls in self.settings.classes if cls.effect is api.Effect.SAFE}
         for request in [request for request in self._requests.values() if request.owed]:
-            self._answer(request, Failed(request.call.msg))
+            msg, later = request.call.msg, self.settings.max_retry_after
+            self._answer(request, Refused(msg, later) if request.call.cls in safe else Failed(msg))
             self._abandon(request)
 
     def _end_when_answered(self) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
 from conftest import LOAD, SHORT, make_settings
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -247,17 +248,22 @@
         return []
 
 
-def test_a_router_that_another_takes_over_from_answers_all_before_it_is_forced_to() -> None:
-    """Deadlines are 20 s here, but it is forced to end 5.7 s after it was told."""
+@pytest.mark.parametrize(("shared", "forced"), [(False, 3.7), (True, 5.7)])
+def test_a_router_that_ends_answers_all_before_it_is_forced_to(shared: bool, forced: float) -> None:
+    """Deadlines are 20 s here, of which 3 s count, or 5 s where another process takes over."""
     router = Router(BASE, LIMITS, changelog=("127.0.0.1", 1), bounds=admission.bounds(256, 96.0), seed=1,
-                    now=0.0, decide=Silent, shared=True)
+                    now=0.0, decide=Silent, shared=shared)
     router.start(0.0)
     asked = say.Call(1, "a" * 16, "load", 20.0, b"x", token="t")
+    harmless = replace(asked, msg=2, txn="c" * 16, cls="short")
     router.step(0.3, [events.ClientOpened(1), events.ClientSaid(1, asked)])
-    assert events.StopListening() in router.step(0.4, [events.StopAsked()])
-    late = router.step(5.8, [events.ClientSaid(1, replace(asked, msg=2, txn="b" * 16))])
-    assert events.Answer(1, say.Refused(2, 1.0)) in late
+    assert (events.StopListening() in router.step(0.4, [events.StopAsked()])) is shared
+    router.step(0.4 + forced - 0.5, [events.ClientSaid(1, harmless)])
+    late = router.step(0.4 + forced - 0.3, [events.ClientSaid(1, replace(asked, msg=3, txn="b" * 16))])
+    assert events.Answer(1, say.Refused(3, 1.0)) in late
     assert events.Answer(1, say.Failed(1)) not in late
-    ended = router.step(6.0, [events.Woken()])
-    assert events.Answer(1, say.Failed(1)) in ended
+    ended = router.step(0.4 + forced - 0.1, [events.Woken()])
+    answers = [effect for effect in ended if isinstance(effect, events.Answer)]
+    # What may be repeated is refused, so that its client may ask elsewhere.
+    assert answers == [events.Answer(1, say.Failed(1)), events.Answer(1, say.Refused(2, 1.0))]
     assert events.PartClient(1) in ended and events.Exit() in ended
