What comes after SIGTERM is tried with its own due time, and answered by the end all the same

Change: Router._take leaves the due time alone; what is open shortly before the end is answered then, as before.

--- a/grebeproxy/net/router.py
+++ b/grebeproxy/net/router.py
@@ -339,8 +339,7 @@
             # No longer than the class's own deadline. Guards against limits of hours: what is kept for a
             # request until then would pile up.
             due = self.now + min(call.limit, self._deadlines[call.cls]) - TRANSIT
-            # One that ends answers before it is forced to: the module gives up what cannot be done by then.
-            request = Request(call, client.conn, min(due, self._last_due))
+            request = Request(call, client.conn, due)
             self._requests[call.txn] = client.requests[call.msg] = request
             self._bodies += len(call.body)
             self._at(request.due + OVERDUE, self._overdue, call.txn, request.due)
