Routers that know each other, as processes: an operator file, datagrams, duties under a lease

Need: membership, leases and copies were cores only; what counts is how processes behave when parts fail.

Change: grebeproxy/peers (node: the three parts put together, I/O-free; edge: uvloop datagrams, timers, structured log, duties; operator_file: HCL, each key checked). Switched on by BALANCER_PEERS; off, nothing of it is imported (import-linter and a test see to that). Duties report to where they take effect under their token.

Seen on the way: with 5 processes and a holder that stood still, 2 of 8 plays had no holder within 12 s. Two candidates held two votes each and renewed them with every asking (Leases._ask); a candidate that got no majority gives its votes back now and waits.

--- a/grebeproxy/__main__.py
+++ b/grebeproxy/__main__.py
@@ -3,21 +3,36 @@
 import logging
 import os
 import sys
+from collections.abc import Callable
 
 from grebeproxy.config import ConfigError, load
-from grebeproxy.net.runtime import run
+from grebeproxy.net.runtime import Beside, run
+
+
+def peers(name: str, path: str | None) -> Callable[[], Beside] | None:
+    """What this router shares with others, where an operator file says so; nothing of it is imported else."""
+    if not path:
+        return None
+    from grebeproxy.peers import OperatorFileError, Peers, load
+
+    try:
+        told = load(path, name)
+    except OperatorFileError as error:
+        raise ConfigError(f"BALANCER_PEERS: {error}") from None
+    return lambda: Peers(told)
 
 
 def main() -> int:
     """Read the configuration and serve; what stands in the way is told in one line."""
     try:
         config = load(os.environ)
+        beside = peers(config.name, os.environ.get("BALANCER_PEERS"))
     except ConfigError as error:
         print(f"grebeproxy: {error}", file=sys.stderr)
         return 2
     logging.basicConfig(level=logging.INFO, format="%(message)s")
     try:
-        run(config, lambda: load(os.environ))
+        run(config, lambda: load(os.environ), beside)
     except OSError as error:  # the address is taken, or not this machine's
         print(f"grebeproxy: listen: {error}", file=sys.stderr)
         return 1
--- a/grebeproxy/membership/lease.py
+++ b/grebeproxy/membership/lease.py
@@ -233,6 +233,11 @@
         if not self._view.quorate:
             return
         if claim.token is None:
+            if claim.asked:
+                # Guards against two that each keep and renew a part of the votes: nobody would get more.
+                self._give_up(lease, claim)
+                claim.next_at = self.now + self.length * AGAIN * (1.0 + 4.0 * self.rng.random())
+                return
             known = self._promises.get(lease)
             if known is not None and self.now < known.until and known.holder != self.name:
                 claim.next_at = known.until + self.length * AGAIN * self.rng.random()
--- a/grebeproxy/membership/swim.py
+++ b/grebeproxy/membership/swim.py
@@ -66,6 +66,7 @@
         self._changed_at = now
         self._waking = False  # nobody has answered since this process stood still; what came may be old
         self._outbid: list[float] = []
+        self.outbids = 0  # how often another process of this name was outbid, a former one or a twin
         self._at(now, self._join)
         self._at(now + rng.random() * config.period, self._next_probe)
         self._at(now + SYNC_EVERY * config.period * (0.5 + rng.random()), self._sync)
@@ -195,6 +196,7 @@
             # What a former process left behind is outbid once. One that lives outbids in its turn.
             since = self.now - OUTBID_FOR * self.config.period
             self._outbid = [at for at in self._outbid if at > since] + [self.now]
+            self.outbids += 1
             if len(self._outbid) > OUTBIDS and fact.instance > self.me.instance:
                 self.displaced = True
                 self._effects += [Told("displaced", self.config.name), Displaced()]
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -521,10 +521,23 @@
             connection.end(str(error))
 
 
-def run(config: Config, read: Callable[[], Config]) -> None:
+class Beside(Protocol):
+    """What a program runs beside its router, on the same loop."""
+
+    async def start(self) -> None:
+        """Begin. Raises ``OSError`` where an address cannot be had."""
+
+    async def stop(self) -> None:
+        """End, once the router has."""
+
+
+def run(config: Config, read: Callable[[], Config], beside: Callable[[], Beside] | None = None) -> None:
     """Serve as a program of its own: on uvloop, until SIGTERM or SIGINT; SIGHUP reads the configuration."""
 
     async def serve() -> None:
+        other = beside() if beside is not None else None
+        if other is not None:
+            await other.start()
         runtime = Runtime(config)
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, runtime.terminate)
@@ -534,5 +547,7 @@
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
         await runtime.serve()
+        if other is not None:
+            await other.stop()
 
     uvloop.run(serve())
--- /dev/null
+++ b/grebeproxy/peers/node.py
@@ -0,0 +1,289 @@
+"""Membership, leases and copies put together: what each message is for, what each part learns of the others.
+
+I/O-free like its parts: ``step(now, events)`` gives effects. Payloads are what a datagram's body carries; the
+edge seals and opens them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Union
+
+from grebeproxy import membership
+from grebeproxy.membership import lease, wire
+from grebeproxy.membership.lease import Leases, Token, Vote, Word
+from grebeproxy.membership.model import Address, View
+from grebeproxy.peers.operator_file import PeersConfig
+from grebeproxy.replica import Changed, Delta, Digest, Heard, Limits, Members, Send, Store, Woken
+
+MEMBER, VOTE, DIGEST, DELTA = 1, 2, 3, 4
+MOST_ENTRIES = 64
+
+
+# --- events
+
+
+@dataclass(frozen=True, slots=True)
+class Came:
+    """The payload of a datagram."""
+
+    payload: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """The time asked for with ``Wake`` has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """The router ends."""
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """A duty was refused where it takes effect, as a higher token was seen there."""
+
+    duty: str
+    token: Token
+
+
+Event = Union[Came, Tick, Ending, Declined]
+
+
+# --- effects
+
+
+@dataclass(frozen=True, slots=True)
+class Datagram:
+    """Send a payload."""
+
+    to: Address
+    payload: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Send ``Tick`` at that time; replaces an earlier ``Wake``."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Write a structured line to the log."""
+
+    event: str
+    fields: tuple[tuple[str, object], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """From now on this router does a duty; it asks ``Node.token`` before each time."""
+
+    duty: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """It does not any longer."""
+
+    duty: str
+
+
+Effect = Union[Datagram, Wake, Line, Begin, Stop]
+
+
+class Node:
+    """One router's part in all that routers share."""
+
+    def __init__(self, config: PeersConfig, instance: int, rng: Random, now: float,
+                 limits: Limits | None = None) -> None:
+        self.config, self.instance = config, instance
+        member = config.member
+        self.members = membership.Membership(member, instance, rng, now)
+        self.leases = Leases(member.name, instance, member.fleet, config.lease, rng, now)
+        self.store = Store(member.name, limits or Limits(), rng, now)
+        self.ended = False
+        self.refused = 0  # payloads that could not be read
+        self._effects: list[Effect] = []
+        self._wakes = {"members": now, "leases": now, "store": now}
+        self._wake_at: float | None = None
+
+    @property
+    def view(self) -> View:
+        """Who is there."""
+        return self.members.view
+
+    def token(self, duty: str, now: float) -> Token | None:
+        """The token under which a duty may be done at this moment."""
+        return None if self.ended else self.leases.token(duty, now)
+
+    def step(self, now: float, events: Iterable[Event]) -> list[Effect]:
+        """Take what happened, in order, and tell what is to be done."""
+        self._effects = []
+        for event in events:
+            if self.ended:
+                break
+            match event:
+                case Came(payload):
+                    self._came(now, payload)
+                case Tick():
+                    self._wake_at = None
+                case Ending():
+                    self._vote(now, *(lease.Wanted(duty.name, False) for duty in self.config.duties))
+                    self._member(now, membership.LeaveAsked())
+                    self.ended = True
+                case Declined(duty, token):
+                    self._vote(now, lease.Refused(duty, token))
+        if not self.ended:
+            for part, due in list(self._wakes.items()):
+                if now >= due:
+                    self._wake(now, part)
+            at = min(self._wakes.values())
+            if self._wake_at is None or at < self._wake_at:
+                self._wake_at = at
+                self._effects.append(Wake(at))
+        return self._effects
+
+    def begin(self, now: float) -> list[Effect]:
+        """The first effects."""
+        self._vote(now, *(lease.Wanted(duty.name) for duty in self.config.duties))
+        return self._effects + self.step(now, [])
+
+    def _wake(self, now: float, part: str) -> None:
+        match part:
+            case "members":
+                self._wakes[part] = now + 3600.0
+                self._member(now, membership.Woken())
+            case "leases":
+                self._wakes[part] = now + 3600.0
+                self._vote(now, lease.Woken())
+            case _:
+                self._copy(now, Woken())
+                self._wakes[part] = self.store.next_at
+
+    # --- what comes
+
+    def _came(self, now: float, payload: Any) -> None:
+        """Guards all parts against a payload that has the key and makes no sense."""
+        try:
+            kind, rest = payload[0], payload[1:]
+            if kind == MEMBER:
+                self._member(now, membership.Heard(wire.unpacked(rest[0])))
+            elif kind == VOTE:
+                vote = _vote(rest[2])
+                if self._knows(rest[0], rest[1]):
+                    self._vote(now, lease.VoteHeard(rest[0], rest[1], vote))
+            elif kind in (DIGEST, DELTA):
+                said = _digest(rest[1:]) if kind == DIGEST else _delta(rest[1:])
+                if rest[0] in self.view.members:
+                    self._copy(now, Heard(rest[0], said))
+            else:
+                self.refused += 1
+        except (wire.WireError, IndexError, KeyError, TypeError, ValueError):
+            self.refused += 1
+
+    def _knows(self, name: Any, instance: Any) -> bool:
+        """Guards the votes against a process that is not, or not any longer, the one of its name."""
+        fact = self.members.facts.get(name) if isinstance(name, str) else None
+        return fact is not None and fact.instance == instance and name in self.view.members
+
+    # --- the parts
+
+    def _member(self, now: float, *events: membership.Event) -> None:
+        outbids = self.members.outbids
+        for effect in self.members.step(now, events):
+            match effect:
+                case membership.Say(to, message):
+                    self._effects.append(Datagram(to, [MEMBER, wire.packed(message)]))
+                case membership.Wake(at):
+                    self._wakes["members"] = at
+                case membership.Told(word, name):
+                    self._line("member", what=word, name=name)
+                case membership.Changed(view):
+                    self._line("view", epoch=view.epoch, condition=view.condition.value,
+                               members=" ".join(view.members[:16]), count=len(view.members))
+                    self._vote(now, lease.ViewSeen(view))
+                    self._copy(now, Members(tuple(n for n in view.members if n != self.config.member.name)))
+                case membership.Displaced():
+                    self._vote(now, *(lease.Wanted(duty.name, False) for duty in self.config.duties))
+                    self.ended = True
+        if self.members.outbids > outbids:
+            self._vote(now, lease.ViewSeen(self.view, twin=True))
+
+    def _vote(self, now: float, *events: lease.Event) -> None:
+        for effect in self.leases.step(now, events):
+            match effect:
+                case lease.Tell(to, vote):
+                    if (fact := self.members.facts.get(to)) is not None:
+                        told = [int(vote.word), vote.lease, vote.ballot, vote.asked]
+                        voted = [VOTE, self.config.member.name, self.instance, told]
+                        self._effects.append(Datagram(fact.address, voted))
+                case lease.Held(what, token):
+                    self._line("lease held", lease=what, ballot=token[0])
+                    self._effects.append(Begin(what))
+                case lease.Over(what):
+                    self._line("lease over", lease=what)
+                    self._effects.append(Stop(what))
+                case membership.Wake(at):
+                    self._wakes["leases"] = at
+
+    def _copy(self, now: float, *events: Heard | Members | Woken) -> None:
+        for effect in self.store.step(now, events):
+            match effect:
+                case Send(to, message):
+                    if (fact := self.members.facts.get(to)) is not None:
+                        payload = _packed(self.config.member.name, message)
+                        self._effects.append(Datagram(fact.address, payload))
+                case Changed():
+                    pass  # who uses what is said reads it when it decides
+
+    def _line(self, event: str, **fields: object) -> None:
+        self._effects.append(Line(event, tuple(fields.items())))
+
+
+def _vote(told: Any) -> Vote:
+    word, what, ballot, asked = told[:4]
+    return Vote(Word(word), _text(what), _count(ballot), _count(asked))
+
+
+def _packed(name: str, message: Digest | Delta) -> list[object]:
+    if isinstance(message, Digest):
+        versions = [[origin, *version] for origin, version in message.versions]
+        return [DIGEST, name, versions, message.whole, message.asks]
+    told = [list(entry) for entry in message.entries]
+    return [DELTA, name, message.origin, *message.life, message.base, message.top, message.age, told]
+
+
+def _digest(told: list[Any]) -> Digest:
+    versions, whole, asks = told[:3]
+    if len(versions) > MOST_ENTRIES:
+        raise ValueError("too many origins")
+    return Digest(tuple((_text(origin), (_count(generation), _count(life), _count(top)))
+                        for origin, generation, life, top in versions), whole is True, asks is True)
+
+
+def _delta(told: list[Any]) -> Delta:
+    origin, generation, life, base, top, age, entries = told[:7]
+    if len(entries) > MOST_ENTRIES or not isinstance(age, int | float) or not age >= 0.0:
+        raise ValueError("not a delta")
+    for _, _, value in entries:
+        if value is not None and not isinstance(value, bytes):
+            raise ValueError("not a value")
+    return Delta(_text(origin), (_count(generation), _count(life)), _count(base), _count(top), float(age),
+                 tuple((_text(key), _count(number), value) for key, number, value in entries))
+
+
+def _text(told: Any) -> str:
+    if not isinstance(told, str) or len(told.encode()) > 64:
+        raise ValueError("not a name")
+    return told
+
+
+def _count(told: Any) -> int:
+    if isinstance(told, bool) or not isinstance(told, int) or told < 0:
+        raise ValueError("not a number")
+    return int(told)
--- a/grebeproxy/replica/store.py
+++ b/grebeproxy/replica/store.py
@@ -17,7 +17,7 @@
 from grebeproxy.replica.records import Delta, Digest, Entry, Record, Version
 
 MARK = ""  # the key that an origin changes only to show that it is there
-PER_DIGEST, DIGESTS = 24, 4  # origins in one packet, and packets in one exchange
+PER_DIGEST, DIGESTS = 16, 6  # origins in one packet, and packets in one exchange
 DELTA_BYTES = 800  # of keys and values in one packet
 MOST_TOP = 2 ** 53
 NOTHING = Record((-1, 0))
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -47,6 +47,15 @@
     assert len({act[1] for act in voters.acts[held:]}) == 1 and len(voters.acts) - held > 150
 
 
+@pytest.mark.parametrize("seed", range(60))
+@pytest.mark.parametrize(("n", "gone"), [(5, 1), (5, 2), (9, 3), (9, 4)])
+def test_those_who_are_left_do_not_keep_the_votes_from_each_other(n: int, gone: int, seed: int) -> None:
+    voters = Voters(seed, n)
+    voters.frozen_until = [1e9 if m < gone else 0.0 for m in range(n)]  # in the view, and silent
+    voters.run(6 * LENGTH)
+    assert voters.acts
+
+
 def mutants() -> list[tuple[str, Any, str, Any]]:
     """Each rule that keeps it safe, taken away."""
     answer = Leases._answer
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,147 @@
+"""The operator file, and what a router makes of payloads that make no sense."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from grebeproxy.membership.lease import Vote, Word
+from grebeproxy.membership.model import Fact, Kind, Message, State
+from grebeproxy.membership.wire import MOST_BYTES, Sealed, packed
+from grebeproxy.peers import OperatorFileError, load, parse
+from grebeproxy.peers.node import Came, Datagram, Node, Tick, Wake
+from grebeproxy.replica.store import DELTA_BYTES, PER_DIGEST, Limits
+
+WHOLE = """
+peers {
+  listen = "127.0.0.1:7946"
+  fleet  = 3
+  seeds  = ["127.0.0.1:7947", "127.0.0.1:7948"]
+  key    = "sixteen bytes or more"
+}
+duty "nightly" {
+  report   = "127.0.0.1:9000"
+  every_ms = 250
+}
+"""
+EXAMPLE = Path(__file__).parent.parent / "deploy" / "peers.hcl"
+
+
+def test_a_file_is_read_with_its_defaults() -> None:
+    told = parse(WHOLE, "n1")
+    assert told.listen == told.member.address == ("127.0.0.1", 7946) and told.member.fleet == 3
+    assert (told.member.period, told.member.timeout, told.lease) == (0.5, 0.15, 3.0)
+    assert [(duty.name, duty.every) for duty in told.duties] == [("nightly", 0.25)]
+
+
+def test_the_example_can_be_used() -> None:
+    assert load(str(EXAMPLE), "n1").member.fleet == 3
+
+
+@pytest.mark.parametrize(("old", "new", "key"), [
+    ('"127.0.0.1:7946"', '"here"', "peers.listen:"), ("fleet  = 3", "", "peers.fleet:"),
+    ("fleet  = 3", "fleet = 2.5", "peers.fleet:"), ("fleet  = 3", 'fleet = "3"', "peers.fleet:"),
+    ("fleet  = 3", "fleet = 0", "peers.fleet:"), ('["127.0.0.1:7947"', '["nowhere:1"', "peers.seeds:"),
+    ("seeds  = [", "seeds = 3 # [", "peers.seeds:"), ('key    = "sixteen bytes or more"', "", "peers.key:"),
+    ("sixteen bytes or more", "short", "peers.key:"), ("fleet  = 3", "fleet = 3\nflet = 3", "peers.flet:"),
+    ("fleet  = 3", "fleet = 3\nperiod_ms = 0", "peers.period_ms:"),
+    ("fleet  = 3", "fleet = 3\ntimeout_ms = 900", "peers.timeout:"),
+    ("fleet  = 3", "fleet = 3\nlease_ms = true", "peers.lease_ms:"),
+    ("every_ms = 250", "every = 1", "duty.nightly.every:"), ('"nightly"', '"two words"', "duty:"),
+    ("duty", "dutty", "dutty:"), ("peers {", "peers { {", "file:"), ("peers {", "piers {", "piers:"),
+])
+def test_a_faulty_key_is_named_in_one_line(old: str, new: str, key: str) -> None:
+    assert old in WHOLE
+    with pytest.raises(OperatorFileError) as caught:
+        parse(WHOLE.replace(old, new, 1), "n1")
+    assert str(caught.value).startswith(key) and "\n" not in str(caught.value)
+
+
+@settings(max_examples=20)
+@given(st.text(max_size=60))
+def test_any_other_text_is_refused_and_nothing_else_happens(text: str) -> None:
+    with pytest.raises(OperatorFileError):
+        parse(text, "n1")
+
+
+def test_a_file_that_cannot_be_read_and_a_name_that_cannot_be_are_told_of(tmp_path: Path) -> None:
+    with pytest.raises(OperatorFileError):
+        load(str(tmp_path / "none"), "n1")
+    with pytest.raises(OperatorFileError, match=r"peers\.name"):
+        parse(WHOLE, "n" * 33)
+
+
+def test_what_has_to_be_alike_makes_the_mark() -> None:
+    marks = {parse(WHOLE.replace(old, new), name).mark for old, new, name in (
+        ("", "", "n1"), ("fleet  = 3", "fleet = 5", "n1"), ("nightly", "daily", "n1"),
+        ("fleet  = 3", "fleet = 3\nlease_ms = 9", "n1"))}
+    assert len(marks) == 4
+    assert parse(WHOLE, "n1").mark == parse(WHOLE.replace(":7946", ":1"), "n2").mark
+
+
+CONFIG = parse(WHOLE, "n1")
+
+
+def node() -> Node:
+    made = Node(CONFIG, 5, Random(5), 0.0)
+    made.begin(0.0)
+    return made
+
+
+LEAVES = st.one_of(st.none(), st.booleans(), st.integers(-3, 5), st.sampled_from(["n2", "x", ""]),
+                   st.binary(max_size=3), st.floats())
+SCRAPS = st.recursive(LEAVES, lambda inner: st.lists(inner, max_size=8))
+PAYLOADS = st.one_of(SCRAPS, st.builds(lambda kind, told: [kind, *told], st.sampled_from([1, 2, 3, 4]),
+                                       st.lists(SCRAPS, min_size=2, max_size=9)))
+
+
+@given(st.lists(PAYLOADS, max_size=12))
+def test_payloads_that_make_no_sense_are_counted_and_harm_nothing(payloads: list[Any]) -> None:
+    router = node()
+    for number, payload in enumerate(payloads):
+        router.step(0.01 * number, [Came(payload)])
+    assert router.view.members == ("n1",)
+    assert router.refused <= len(payloads)
+
+
+def test_the_longest_of_each_kind_fits_a_packet() -> None:
+    name = "n" * 32
+    fact = Fact(name, ("255.255.255.255", 65535), 2 ** 56, 2 ** 40, State.SUSPECT, name)
+    versions = [["o" * 32, 2 ** 40, 2 ** 48, 2 ** 53] for _ in range(PER_DIGEST)]
+    value = bytes(Limits().value)
+    for payload in (
+            [1, packed(Message(Kind.GOSSIP, fact, 2 ** 40, name, 2 ** 64 - 1, (fact,) * 8))],
+            [2, name, 2 ** 56, [1, "d" * 64, 2 ** 53, 2 ** 51]], [3, name, versions, True, True],
+            [4, name, name, 2 ** 40, 2 ** 48, 2 ** 53, 2 ** 53, 14.9, [["k" * 64, 2 ** 53, value]]],
+            [4, name, name, 2 ** 40, 2 ** 48, 2 ** 53, 2 ** 53, 14.9, [["k", 2 ** 53, b""]] * (
+                DELTA_BYTES // 17)]):
+        assert len(Sealed(b"k" * 16, 2 ** 56, 2 ** 32 - 1).seal(payload)) <= MOST_BYTES
+
+
+def test_a_vote_counts_only_from_the_process_that_is_the_member() -> None:
+    one = node()
+    other = Fact("n2", ("127.0.0.1", 7947), 9, 0, State.ALIVE)
+    one.step(1.0, [Came([1, packed(Message(Kind.GOSSIP, other))])])
+    ask = Vote(Word.ASK, "nightly", 3, 1)
+    told = [int(ask.word), ask.lease, ask.ballot, ask.asked]
+
+    def answers(instance: int) -> list[tuple[str, int]]:
+        effects = one.step(10.0, [Came([2, "n2", instance, told])])
+        votes = [e for e in effects if isinstance(e, Datagram) and e.payload[0] == 2]
+        return [vote.to for vote in votes if vote.payload[3][0] in (2, 3)]
+
+    assert (answers(8), answers(9)) == ([], [other.address])
+
+
+def test_it_asks_to_be_woken_and_nothing_is_missed_where_it_is_woken_late() -> None:
+    router, now = node(), 0.0
+    for _ in range(200):
+        wakes = [effect.at for effect in router.step(now, [Tick()]) if isinstance(effect, Wake)]
+        assert wakes and wakes[-1] >= now - 1e-9
+        now = wakes[-1] + 0.05
+    assert router.view.members == ("n1",)
