--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -100,6 +100,7 @@
                                        st.lists(SCRAPS, min_size=2, max_size=9)))
 
 
+@settings(max_examples=40)
 @given(st.lists(PAYLOADS, max_size=12))
 def test_payloads_that_make_no_sense_are_counted_and_harm_nothing(payloads: list[Any]) -> None:
     router = node()
