--- a/grebeproxy/membership/swim.py
+++ b/grebeproxy/membership/swim.py
@@ -64,6 +64,8 @@
         self._effects: list[Effect] = []
         self._wake_at: float | None = None
         self._changed_at = now
+        self._members: tuple[str, ...] = (config.name,)
+        self._sound, self._stale = 1, False  # members that nobody suspects; whether to count both anew
         self._waking = False  # nobody has answered since this process stood still; what came may be old
         self._outbid: list[float] = []
         self.outbids = 0  # how often another process of this name was outbid, a former one or a twin
@@ -166,6 +168,7 @@
                     self._at(suspicion.until(), self._failed, fact.name, suspicion)
             return
         self.facts[fact.name] = fact
+        self._stale = True
         self._rumours.add(fact)
         self._lost.pop(fact.name, None)
         if fact.state is State.SUSPECT:
@@ -333,6 +336,7 @@
         self._at(self.now + HEAL_EVERY * self.config.period * (0.5 + self.rng.random()), self._heal)
         for name in [name for name, until in self._lost.items() if until <= self.now]:
             del self._lost[name], self.facts[name]
+            self._stale = True
             self._rumours.forget(name)
         known = {fact.address for fact in self._others()}
         lost = {self.facts[name].address for name in self._lost if self.facts[name].state is State.DEAD}
@@ -349,9 +353,12 @@
 
     def _look(self) -> None:
         """Tell of a new view, where members or condition are not what they were."""
-        fleet, members = self.config.fleet, tuple(sorted(
-            fact.name for fact in self.facts.values() if fact.state < State.DEAD))
-        sound = sum(fact.state is State.ALIVE for fact in self.facts.values())
+        if self._stale:  # of a thousand members each message would cost a pass over all
+            self._stale = False
+            self._members = tuple(sorted(
+                fact.name for fact in self.facts.values() if fact.state < State.DEAD))
+            self._sound = sum(fact.state is State.ALIVE for fact in self.facts.values())
+        fleet, members, sound = self.config.fleet, self._members, self._sound
         suspected = sound < len(members)
         if members != self.view.members or suspected:
             self._changed_at = self.now
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from members import Net
 
-from grebeproxy.membership import Condition
+from grebeproxy.membership import Condition, Heard, Membership, Message
+from grebeproxy.membership.model import Fact, Kind, State
 
 SEEDS = range(40)
 ACTS = (Condition.QUORATE, Condition.SETTLED)
@@ -169,3 +174,25 @@
     net.start(*range(40))
     net.run(20.0)
     assert max(len(core.facts) for core in net.cores.values()) <= 12
+
+
+FACTS = st.builds(Fact, st.sampled_from(["n1", "n2"]), st.just(("127.0.0.1", 9001)), st.integers(1, 2),
+                  st.integers(0, 2), st.sampled_from(State))
+
+
+@given(st.lists(FACTS, max_size=8), st.randoms(use_true_random=False))
+def test_what_is_held_does_not_depend_on_the_order_of_facts(facts: list[Fact], random: Random) -> None:
+    """The model: for each name the fact of the highest rank, once anything but an end was heard of it."""
+    shuffled = list(facts)
+    random.shuffle(shuffled)
+    # Each name is known first, so that an end is not ignored as one of somebody unknown.
+    known = [Fact(name, ("127.0.0.1", 9001), 0, 0, State.ALIVE) for name in ("n1", "n2")]
+    held = []
+    for order in (facts, shuffled, shuffled + facts):
+        core = Membership(Net(1, 3).config(0), 7, Random(1), 0.0)
+        sender = Fact("n9", ("127.0.0.1", 9009), 9, 0, State.ALIVE)
+        for fact in [*known, *order]:
+            core.step(0.0, [Heard(Message(Kind.GOSSIP, sender, facts=(fact,)))])
+        held.append({name: core.facts[name].rank for name in ("n1", "n2")})
+    best = {name: max(fact.rank for fact in [*known, *facts] if fact.name == name) for name in ("n1", "n2")}
+    assert held == [best] * 3
