Tidy on re-reading: one set of engines out by hand for each send, no state that is read once

- Attempts._send built the set of engines that are out from all calls for every send; the reducer keeps it already.
- The due time at the end of a stop was kept on the reducer after nothing but _stop used it.
- Books put the engines in the agreed order in two places by the same line; one method does it now.

--- a/grebeproxy/net/router/attempts.py
+++ b/grebeproxy/net/router/attempts.py
@@ -25,7 +25,7 @@
             self._report(attempt, api.Outcome.MOOT)
             return
         request.out = attempt
-        if action.engine in self._hands.out():  # guards operators' word, whatever was decided
+        if action.engine in self._told_out:  # guards operators' word, whatever was decided
             self._end(attempt, api.Outcome.MOOT)
             return
         if action.engine not in self._places:  # another engine has its address now
--- a/grebeproxy/net/router/base.py
+++ b/grebeproxy/net/router/base.py
@@ -52,7 +52,7 @@
         self._log = follower.Follower(changelog, now)
         self._shared = shared  # clients come on a socket that another process hears as well
         self._listening = self._stopping = self._ending = self._done = False
-        self._last_due = self._takes_until = float("inf")
+        self._takes_until = float("inf")  # then what comes is refused: clients are to go elsewhere
         self._drained: float | None = None  # since when operators want clients to go elsewhere
         self._hands, self._told_out = Hands(), frozenset[str]()
         self._doors: dict[int, float] = {}  # operators' connections, the oldest first
--- a/grebeproxy/net/router/operating.py
+++ b/grebeproxy/net/router/operating.py
@@ -86,9 +86,9 @@
         self._stopping = True
         longest = max(self._deadlines.values())
         forced = min(longest, KILL_SHARED if self._shared else KILL_ALONE)
-        self._last_due = self.now + forced + KILL_AFTER - OVERDUE
-        self._takes_until = min(self._takes_until, self._last_due - LEAST_LIMIT)
-        self._at(self._last_due, self._answer_all)
+        last_due = self.now + forced + KILL_AFTER - OVERDUE
+        self._takes_until = min(self._takes_until, last_due - LEAST_LIMIT)
+        self._at(last_due, self._answer_all)
         if self._shared:  # what nobody has taken yet is there for whoever takes over
             self._stop_listening()
         else:
--- a/grebeproxy/policy/books.py
+++ b/grebeproxy/policy/books.py
@@ -116,7 +116,7 @@
             if entry.started is not None and entry.started > (node.cold_since or 0.0):
                 node.restarted(entry.started, self.now)
             node.entry = entry
-        self.ring = agreed(e.entry.id for e in self.nodes.values() if self.usable(e))
+        self._rerung()
 
     def handed(self, out: frozenset[str]) -> None:
         """Book what operators took out; what they give back was restarted meanwhile."""
@@ -125,6 +125,10 @@
             e.ejected_at, e.faults, e.backoff, e.unreachable, e.still = None, 0.0, 0.0, False, 0
             e.heard, e.slow = self.now, self.pool
         self.by_hand = out
+        self._rerung()
+
+    def _rerung(self) -> None:
+        """Put the engines that are usable now in the agreed order."""
         self.ring = agreed(e.entry.id for e in self.nodes.values() if self.usable(e))
 
     def usable(self, e: Node) -> bool:
