After a pause the sockets are read once more before the router acts

Callers saw, after the process had stood still: a statement sent for a client that had cancelled 0.2 s earlier, and a connection closed over its unread first request.

Cause: Runtime.feed scheduled the step for the next turn; if the process stood still in between, the step ran at the time after the pause, timers included, on input from before it. Both tests of tests/test_paused_process.py failed before (the engine received REQ and STOP of request 2).

Change: a step over 10 ms after its first event was read lets the loop poll once more first. It holds because the poll comes after the pause and before the step; one turn at most.

--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -35,6 +35,8 @@
 
 LOG = logging.getLogger("grebeproxy")
 
+MAX_READ_AGE = 0.01  # seconds from reading sockets to a step, beyond which they are read once more
+
 
 class Runtime:
     """Runs one router on an event loop. Tests pass their own ``timers``."""
@@ -61,6 +63,7 @@
         self._listen_error: OSError | None = None  # raised by ``serve``
         self._done = asyncio.Event()
         self._events: list[events.Event] = []  # for the next step
+        self._read_at = self.timers.now()  # when the first of these events was read
         self._stepping = False  # the router or its effects are running
         options = router.RouterOptions(
             config.settings,
@@ -186,7 +189,19 @@
         idle = not self._events and not self._stepping
         self._events.extend(reported)
         if idle and reported:
-            self.timers.call_soon(self._step)
+            self._read_at = self.timers.now()
+            self.timers.call_soon(self._step_unless_outdated)
+
+    def _step_unless_outdated(self) -> None:
+        """Step, or read the sockets once more first, where the process stood still since they were read.
+
+        The step would act after the pause on the input from before it: send a request whose client has left
+        meanwhile, or time out a peer whose bytes wait unread.
+        """
+        if self.timers.now() - self._read_at > MAX_READ_AGE:
+            self.timers.call_soon(self._step)  # the loop polls its sockets before it makes this call
+        else:
+            self._step()
 
     def _step(self) -> None:
         """Give the state machine the events that were fed, and those that its effects cause in turn."""
