One chain of the anti-entropy timer, however often the process pauses

Seen: routers that know each other send ever more full exchanges where their machines pause. Change: after a pause one exchange is requested by sync_once, which renews nothing.

--- a/grebeproxy/membership/anti_entropy.py
+++ b/grebeproxy/membership/anti_entropy.py
@@ -44,9 +44,13 @@
         """Timer: exchange facts with a random member."""
         context = self._context
         context.timers.schedule(context.now + self.random_delay(SYNC_INTERVAL), self.sync)
+        self.sync_once()
+
+    def sync_once(self) -> None:
+        """Exchange facts with a random member, and leave the timer as it is."""
         others = self._table.others()
         if others:
-            self._request_sync(context.rng.choice(others).address)
+            self._request_sync(self._context.rng.choice(others).address)
 
     def heal(self) -> None:
         """Timer: try a failed member or a seed, as nobody else reports that a partition has healed."""
--- a/grebeproxy/membership/swim.py
+++ b/grebeproxy/membership/swim.py
@@ -122,7 +122,8 @@
         self._relays.clear()
         self.table.extend_suspicions(seconds)
         context.effects.append(Notice(NoticeKind.PAUSED, context.config.name))
-        context.timers.schedule(now, self._anti_entropy.sync)
+        # Not ``sync``, which renews itself: each pause would add another chain of that timer.
+        context.timers.schedule(now, self._anti_entropy.sync_once)
 
     def _on_message(self, message: Message) -> None:
         sender = message.sender
