A pause is counted once, though messages come before the wake-up

Seen: after one pause several peers.member.paused lines, health degraded and suspicions extended several times. Cause: step compares its time with the wake-up it asked for, which stays in the past until the wake-up arrives, so each message before it found the pause again (three notices for one pause of 60 s). Change: a handled pause moves the expected time to the present. It holds because every later step of that moment compares with that.

--- a/grebeproxy/membership/swim.py
+++ b/grebeproxy/membership/swim.py
@@ -83,6 +83,7 @@
         context.effects = []
         if self._wake_at is not None and now > self._wake_at + PAUSE_THRESHOLD * context.config.period:
             self._on_pause(now, now - self._wake_at)
+            self._wake_at = now  # or a message that comes before the wake-up would find the same pause again
         context.now = now
         for event in events:
             self._handle(event)
--- a/tests/test_periodic_timers.py
+++ b/tests/test_periodic_timers.py
@@ -2,8 +2,9 @@
 
 What happened: a router on a machine that pauses often sent ever more full exchanges of facts, until it was
 restarted. After each pause ``Membership`` scheduled ``AntiEntropy.sync``, which renews itself, beside the
-chain that was there: 11 chains after ten pauses of 60 s, and 332 exchanges in 300 s. Counting the callbacks in
-the queue, and the exchanges that were begun, showed it.
+chain that was there: 11 chains after ten pauses of 60 s, and 332 exchanges in 300 s. Counting the callbacks
+in the queue, and the exchanges that were begun, showed it. A pause that messages followed was also counted
+once for each of them, as the wake-up that ``step`` compares with was still in the past: three notices of one.
 """
 
 from __future__ import annotations
@@ -15,9 +16,9 @@
 from members import Network
 from test_membership import settled
 
-from grebeproxy.membership import Membership, Send
+from grebeproxy.membership import Membership, MessageReceived, NoticeKind, Send, Woken
 from grebeproxy.membership.anti_entropy import SYNC_INTERVAL
-from grebeproxy.membership.model import Effect, Kind
+from grebeproxy.membership.model import Effect, Kind, Message
 
 PAUSES = 10
 PAUSE = 60.0  # seconds
@@ -89,3 +90,14 @@
         counted = chains(core)
         assert {name: counted[name] for name in PERIODIC if name != "join"} == dict.fromkeys(PERIODIC[1:], 1)
         assert counted["join"] <= 1
+
+
+def test_a_pause_is_counted_once_though_a_message_comes_before_the_wake_up() -> None:
+    network = settled(3, 1)
+    core = network.cores[0]
+    now = network.now + PAUSE
+    sender = network.cores[1].me
+    effects = core.step(now, [MessageReceived(Message(Kind.GOSSIP, sender))])
+    effects += core.step(now, [MessageReceived(Message(Kind.GOSSIP, sender))])
+    effects += core.step(now, [Woken()])
+    assert [getattr(effect, "kind", None) for effect in effects].count(NoticeKind.PAUSED) == 1
