A rejected token is followed by claims with backoff, not at once for ever

Cause: Candidate.on_token_rejected began the next claim at once, each time. Change: at once the first time, as after a restart of all voters; after a lease's length the second time, then doubled up to 32 lengths. It holds because no path to a new claim after a rejection avoids the delay.

--- a/grebeproxy/membership/lease/candidate.py
+++ b/grebeproxy/membership/lease/candidate.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 
 from grebeproxy.membership.lease.config import DRIFT, MAX_BALLOT, MAX_LEASES, LeaseContext
 from grebeproxy.membership.lease.messages import LeaseAcquired, LeaseLost, Token, Vote, VoteKind
@@ -14,6 +15,9 @@
 # Retries are spread over this many times ``RETRY``: so candidates that split the votes do not meet again.
 RETRY_SPREAD = 1.0
 SPLIT_VOTE_SPREAD = 4.0
+# A second rejected token is followed by a claim after a lease's length, further ones after twice the time.
+REJECTION_BACKOFF = 1.0  # lease lengths
+MAX_REJECTION_BACKOFF = 32.0  # lease lengths; without a rejection for twice that time it begins anew
 REQUEST_NUMBER_BITS = 50
 
 
@@ -29,6 +33,8 @@
     expires_at: float = 0.0
     next_request_at: float = 0.0
     token: Token | None = None  # while the lease is held
+    rejected_at: float = -inf  # when a token was last rejected
+    rejection_backoff: float = 0.0  # lease lengths from that rejection to the next claim
 
 
 class Candidate:
@@ -60,13 +66,18 @@
             del self._claims[lease]
 
     def on_token_rejected(self, lease: str, token: Token) -> None:
-        """Begin again above a token that was seen where the lease's work takes effect."""
+        """Begin again above a token that was seen where the lease's work takes effect.
+
+        The first time at once: the voters may all have restarted, and remember no ballot. If that is not the
+        end of it, another router holds the lease by a majority of its own, as where their fleet sizes differ;
+        claims that follow at once would take the lease from each other without end.
+        """
         claim = self._claims.get(lease)
         if claim is None:
             return
         claim.ballot = max(claim.ballot, min(token[0], MAX_BALLOT))
         self._release(lease, claim)
-        claim.next_request_at = self._context.now
+        claim.next_request_at = self._context.now + self._rejection_delay(claim)
 
     def on_grant(self, vote: Vote, voter: str) -> None:
         """Count a granted vote if it answers the latest request."""
@@ -160,6 +171,18 @@
             claim.token = Token(claim.ballot, config.name)
             self._context.effects.append(LeaseAcquired(lease, claim.token))
 
+    def _rejection_delay(self, claim: Claim) -> float:
+        """Seconds until the claim that follows a rejected token."""
+        context = self._context
+        length = context.config.length
+        if context.now - claim.rejected_at > 2 * MAX_REJECTION_BACKOFF * length:
+            claim.rejection_backoff = 0.0
+        else:
+            doubled = 2 * claim.rejection_backoff or REJECTION_BACKOFF
+            claim.rejection_backoff = min(MAX_REJECTION_BACKOFF, doubled)
+        claim.rejected_at = context.now
+        return claim.rejection_backoff * length * (1.0 + RETRY * context.rng.random())
+
     def _retry_at(self, spread: float) -> float:
         context = self._context
         return context.now + context.config.length * RETRY * (1.0 + spread * context.rng.random())
