--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -133,3 +133,20 @@
         * 6.0
     )
     assert fleet.part() > 0.2 * able and fleet.over() <= 1.0
+
+
+@pytest.mark.parametrize(("balancers", "seed"), [(2, 15), (20, 1), (20, 4), (30, 8)])
+def test_the_warming_budget_holds_where_chance_gives_routers_large_units(balancers: int, seed: int) -> None:
+    """The sum of all routers exceeded the bound on these seeds, by up to 1.084.
+
+    Each router divides a slot's budget into units of its own estimate of the heaviest query. Estimates
+    differ soon after a start, and so do the units: in one slot of seed 1 five routers had a unit each, of
+    2.9 to 5.6 core-seconds, 21.5 in all where the slot has 12.1. With one unit for all routers (trial) no
+    sum of 240 runs was above 0.93.
+    """
+    fleet = Fleet(balancers, engines=2, cold=2, seed=seed)
+    for _ in range(4):
+        for index in range(balancers):
+            fleet.restart(index)
+        fleet.run(1.7, lambda cls: FLOODS["all"][cls])
+    assert 0.0 < fleet.over() <= 1.0
