--- a/grebeproxy/policy/lifecycle.py
+++ b/grebeproxy/policy/lifecycle.py
@@ -10,7 +10,6 @@
 SUSPECT_SILENCE = 2.0  # that silence, in objectives of the tightest class, as loads can lock all data sets
 STALL_FRACTION = 0.3  # part of its objective after which a query counts as stalled or badly planned
 STALL_RUN_TIMES = 3.0  # and expected run times: where engines are slow a fresh attempt would be slow too
-DEADLINE_TOLERANCE = 0.005  # difference of deadlines, as a part, that is taken for none
 MAX_WORK_RATIO = 8  # most that one estimate of work counts, over the typical work of its class
 MIN_WORK = 1e-4  # core-seconds
 SWEEPS_BEFORE_DEADLINE = 6  # sweep intervals before its deadline at which a query is rejected at the latest
@@ -30,7 +29,7 @@
         if self.settings.rules.attempt_budget is not None:
             self.recent_queries.add(self.now)
         received_at = self.now if request.received_at is None else request.received_at
-        arrived_at = self._arrival_time(request, received_at, cls.deadline)
+        arrived_at = self.arrival_time(request, received_at, cls.deadline)
         work = self._estimate_work(request, rank)
         memory = self.memory_corrections[rank].correct(request.memory_mb) if request.memory_mb else 0.0
         self.count_query(request, cls, min(work, MAX_WORK_RATIO * self.typical_work[rank]))
@@ -39,8 +38,7 @@
         self.queries[query.id] = query
         if request.tenant in self.quotas:
             # A client's retry spends nothing: its first attempt did, or was over quota.
-            is_first = arrived_at == received_at and not request.is_client_retry
-            spent = is_first / self.traffic_ratio
+            spent = (arrived_at == received_at and not request.is_client_retry) / self.traffic_ratio
             query.over_quota = not self.quotas[request.tenant].take(self.now, spent)
         if cls.ordered_by_key and request.key is not None:
             query.key_queue = self.key_queues[request.key]
@@ -50,20 +48,6 @@
         if not self._priority_weight(query) or (query.over_quota and loaded):
             self._reject_or_fail(query)
 
-    def _arrival_time(self, request: Query, received_at: float, deadline: float) -> float:
-        """When the client's first attempt came.
-
-        Where clients do not mark their retries, a retry is known by its time: it had less than the usual part
-        of its deadline left when it was read. The time of the decision would not do: a first attempt that is
-        decided late has less time left as well.
-        """
-        is_retry = request.is_client_retry
-        if not self.settings.clients_mark_retries:
-            left = (request.due - received_at) / deadline
-            is_usual = self.usual_deadline_fraction.agrees(left, DEADLINE_TOLERANCE)
-            is_retry = is_retry or not is_usual
-        return min(received_at, request.due - deadline) if is_retry else received_at
-
     def _estimate_work(self, request: Query, rank: int) -> float:
         """Core-seconds that a query will take, by its own estimate if it has one; counts it in its class."""
         self.class_counts[rank] += 1
--- a/grebeproxy/policy/query_tracking.py
+++ b/grebeproxy/policy/query_tracking.py
@@ -28,6 +28,8 @@
 )
 from grebeproxy.policy.records import HomeEngines, QueryRecord
 
+DEADLINE_TOLERANCE = 0.005  # difference of deadlines, as a part, that is taken for none
+
 
 class QueryTracking(EngineTracking):
     """The queries of a router: queued, in flight, and counted."""
@@ -119,6 +121,20 @@
         if cls.locks_data_set:
             self.load_run_rate.add(self.now, work / cls.threads)
 
+    def arrival_time(self, request: Query, received_at: float, deadline: float) -> float:
+        """When the client's first attempt came.
+
+        Where clients do not mark their retries, a retry is known by its time: it had less than the usual part
+        of its deadline left when it was read. The time of the decision would not do: a first attempt that is
+        decided late has less time left as well.
+        """
+        is_retry = request.is_client_retry
+        if not self.settings.clients_mark_retries:
+            left = (request.due - received_at) / deadline
+            is_usual = self.usual_deadline_fraction.agrees(left, DEADLINE_TOLERANCE)
+            is_retry = is_retry or not is_usual
+        return min(received_at, request.due - deadline) if is_retry else received_at
+
     def learn_costs(
         self, query: QueryRecord, ended: AttemptEnded, retention: float, max_ratio: float
     ) -> None:
