--- a/grebeproxy/lab/scale/changelog_run.py
+++ b/grebeproxy/lab/scale/changelog_run.py
@@ -17,7 +17,8 @@
 from grebeproxy.lab.scale.fleet import Fleet
 from grebeproxy.lab.scale.processes import Worker, Workers
 from grebeproxy.lab.scale.run import Options, Outcome, Progress, SizeNotReachedError
-from grebeproxy.lab.scale.units import MS_PER_SECOND, US_PER_SECOND
+from grebeproxy.lab.scale.units import US_PER_SECOND
+from grebeproxy.units import MS_PER_SECOND
 from grebeproxy.lab.scale.usage import Usage, used_between
 
 SINGLE_CHANGES = 6  # each is measured separately
--- a/grebeproxy/lab/scale/clients.py
+++ b/grebeproxy/lab/scale/clients.py
@@ -13,7 +13,7 @@
 
 from grebeproxy.lab.scale.addresses import Address
 from grebeproxy.lab.scale.deployment import TENANT
-from grebeproxy.lab.scale.units import MS_PER_SECOND
+from grebeproxy.units import MS_PER_SECOND
 
 REQUEST = 0  # a message type of MessagePack-RPC
 REJECTED = "TryLater"  # the error of a router that sheds load
--- a/grebeproxy/lab/scale/clock.py
+++ b/grebeproxy/lab/scale/clock.py
@@ -5,7 +5,7 @@
 import time
 from random import Random
 
-from grebeproxy.lab.scale.units import MS_PER_SECOND
+from grebeproxy.units import MS_PER_SECOND
 
 MAX_OFFSET_S = 1000.0
 MAX_DRIFT = 0.005  # relative; two clocks drift apart by twice this, which is half of what leases allow
--- a/grebeproxy/lab/scale/member.py
+++ b/grebeproxy/lab/scale/member.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 import time
-from contextlib import suppress
 from dataclasses import dataclass
 from random import Random
 from typing import cast
@@ -16,8 +15,7 @@
 from grebeproxy.membership.lease import Token
 from grebeproxy.membership.wire import Sealed, WireError
 from grebeproxy.peers import Node, PeersConfig, node
-from grebeproxy.peers.duty_client import REPORT_TIMEOUT, report
-from grebeproxy.peers.operator_file import Duty
+from grebeproxy.peers.duty_tasks import DutyTasks
 
 MIN_DELAY_S = 0.001  # of a timer, as in the product
 INSTANCE_BITS = 56
@@ -40,14 +38,13 @@
         self.name = config.member.name
         self.node = Node(config, instance, rng, clock.now())
         self.changes: dict[str, MemberChange] = {}  # by member
-        self._config = config
         self._clock = clock
         self._meter = meter
         self._sealed = Sealed(config.key, instance, config.settings_digest)
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._wake_at = 0.0  # on the router's clock
-        self._duties: dict[str, asyncio.Task[None]] = {}
+        self._duty_tasks = DutyTasks(config.duties, self._token, self._report_rejected, _log_nothing)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Be ready to send."""
@@ -64,8 +61,7 @@
 
     def close(self) -> None:
         """Stop at once, as a process that is killed: nobody is notified."""
-        for task in self._duties.values():
-            task.cancel()
+        self._duty_tasks.stop_all()
         if self._timer is not None:
             self._timer.cancel()
         if self._transport is not None:
@@ -96,9 +92,9 @@
                     change = event.removeprefix("peers.member.")
                     self.changes[name] = MemberChange(time.monotonic(), change)
                 case node.StartDuty(name):
-                    self._start_duty(name)
+                    self._duty_tasks.start(name)
                 case node.StopDuty(name):
-                    self._stop_duty(name)
+                    self._duty_tasks.stop(name)
 
     def _send(self, to: Address, payload: object) -> None:
         if self._transport is not None:
@@ -121,32 +117,18 @@
 
     # --- duties
 
-    def _start_duty(self, name: str) -> None:
-        duty = next(duty for duty in self._config.duties if duty.name == name)
-        self._stop_duty(name)
-        self._duties[name] = asyncio.get_running_loop().create_task(self._perform(duty))
-
-    def _stop_duty(self, name: str) -> None:
-        if (task := self._duties.pop(name, None)) is not None:
-            task.cancel()
-
-    async def _perform(self, duty: Duty) -> None:
-        """Report for as long as the lease is held, at the duty's interval."""
-        while (token := self.node.token(duty.name, self._clock.now())) is not None:
-            higher: Token | None = None
-            with suppress(TimeoutError, OSError):  # the next report follows after the interval
-                async with asyncio.timeout(REPORT_TIMEOUT):
-                    higher = await report(duty, token)
-            if higher is not None:
-                # Not from within this task: the node answers by stopping it.
-                asyncio.get_running_loop().call_soon(self._report_rejected, duty.name, higher)
-            await asyncio.sleep(duty.interval)
+    def _token(self, duty: str) -> Token | None:
+        return self.node.token(duty, self._clock.now())
 
     def _report_rejected(self, duty: str, higher: Token) -> None:
         with self._meter:
             self._carry_out(self.node.step(self._clock.now(), [node.DutyRejected(duty, higher)]))
 
 
+def _log_nothing(event: str, **fields: object) -> None:
+    """A hollow router writes no log: a report that fails is followed by the next one."""
+
+
 def bound_socket(address: Address) -> socket.socket:
     """A non-blocking datagram socket bound to an address; port 0 takes any. Raises ``OSError``."""
     created = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/grebeproxy/lab/scale/membership_run.py
+++ b/grebeproxy/lab/scale/membership_run.py
@@ -10,7 +10,8 @@
 from grebeproxy.lab.scale.plans import MembershipPlan, router_name
 from grebeproxy.lab.scale.processes import Worker, Workers, call_all
 from grebeproxy.lab.scale.run import Options, Outcome, Progress, SizeNotReachedError
-from grebeproxy.lab.scale.units import MS_PER_SECOND, US_PER_SECOND
+from grebeproxy.lab.scale.units import US_PER_SECOND
+from grebeproxy.units import MS_PER_SECOND
 from grebeproxy.lab.scale.usage import Usage, used_between
 
 # Events that a router logs of another member.
--- a/grebeproxy/lab/scale/real_routers.py
+++ b/grebeproxy/lab/scale/real_routers.py
@@ -18,7 +18,7 @@
 from grebeproxy.lab.scale.deployment import settings_document
 from grebeproxy.lab.scale.meter import process_cpu_s, resident_bytes
 from grebeproxy.lab.scale.plans import DUTY, DUTY_INTERVAL_S, KEY, MembershipPlan
-from grebeproxy.lab.scale.units import MS_PER_SECOND
+from grebeproxy.units import MS_PER_SECOND
 
 SOCKETS = 1024
 MEMORY_MB = 192
--- a/grebeproxy/lab/scale/usage.py
+++ b/grebeproxy/lab/scale/usage.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from grebeproxy.lab.scale.meter import Counters
-from grebeproxy.lab.scale.units import MS_PER_SECOND
+from grebeproxy.units import MS_PER_SECOND
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebeproxy/lab/soak/clients.py
+++ b/grebeproxy/lab/soak/clients.py
@@ -13,7 +13,7 @@
 
 from grebeproxy.lab.scale.addresses import Address
 from grebeproxy.lab.scale.deployment import TENANT
-from grebeproxy.lab.scale.units import MS_PER_SECOND
+from grebeproxy.units import MS_PER_SECOND
 from grebeproxy.lab.soak.recording import Answer, Recording, Reply, Request
 
 REQUEST, RESPONSE, NOTIFICATION = 0, 1, 2  # message types of MessagePack-RPC
--- a/grebeproxy/lab/soak/engines.py
+++ b/grebeproxy/lab/soak/engines.py
@@ -14,7 +14,7 @@
 from grebeproxy.lab.scale.addresses import LOOPBACK_HOST, Address
 from grebeproxy.lab.scale.deployment import GONE, UP, EngineRecord
 from grebeproxy.lab.scale.hollow_engines import PAGE
-from grebeproxy.lab.scale.units import MS_PER_SECOND
+from grebeproxy.units import MS_PER_SECOND
 from grebeproxy.lab.soak.recording import Attempt, End
 
 RUN_S = (0.005, 0.06)  # that a statement takes
--- a/grebeproxy/lab/soak/play.py
+++ b/grebeproxy/lab/soak/play.py
@@ -18,7 +18,7 @@
 
 from grebeproxy.lab.scale.addresses import Address, address_text, free_address
 from grebeproxy.lab.scale.deployment import DRAINING, GONE, UP, settings_document
-from grebeproxy.lab.scale.units import MS_PER_SECOND
+from grebeproxy.units import MS_PER_SECOND
 from grebeproxy.lab.soak.change_log import FaultyChangeLog
 from grebeproxy.lab.soak.checks import CHECKS, PAUSE_CHECKS, Violation, violations
 from grebeproxy.lab.soak.clients import ClientClass, Clients
--- a/grebeproxy/net/router/timer_queue.py
+++ b/grebeproxy/net/router/timer_queue.py
@@ -18,10 +18,6 @@
         self._numbers = numbers
         self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
 
-    def __len__(self) -> int:
-        """How many timers are waiting."""
-        return len(self._heap)
-
     def add(self, due: float, callback: Callable[..., None], *args: Any) -> None:
         """Call ``callback(*args)`` once the time is ``due``, in seconds on the router's clock."""
         heappush(self._heap, (due, next(self._numbers), callback, args))
--- a/grebeproxy/peers/duty_tasks.py
+++ b/grebeproxy/peers/duty_tasks.py
@@ -7,7 +7,6 @@
 
 from grebeproxy.membership.lease import Token
 from grebeproxy.peers.duty_client import REPORT_TIMEOUT, report
-from grebeproxy.peers.event_log import EventLog
 from grebeproxy.peers.operator_file import Duty
 
 
@@ -15,7 +14,8 @@
     """Starts and stops the tasks of duties; ``close`` ends them all.
 
     ``token`` gives the fencing token under which a duty may be done now, or ``None``. ``on_rejected`` is
-    called with a duty's name and the higher token that the receiver of the report has seen.
+    called with a duty's name and the higher token that the receiver of the report has seen. ``log`` writes an
+    event with its fields.
     """
 
     def __init__(
@@ -23,7 +23,7 @@
         duties: tuple[Duty, ...],
         token: Callable[[str], Token | None],
         on_rejected: Callable[[str, Token], None],
-        log: EventLog,
+        log: Callable[..., None],
     ) -> None:
         self._duties = {duty.name: duty for duty in duties}
         self._token = token
@@ -45,10 +45,14 @@
         if (task := self._current.pop(name, None)) is not None:
             task.cancel()
 
-    async def close(self) -> None:
-        """Cancel all tasks and wait until they have ended."""
+    def stop_all(self) -> None:
+        """Cancel all tasks."""
         for name in list(self._current):
             self.stop(name)
+
+    async def close(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        self.stop_all()
         await asyncio.gather(*self._unfinished, return_exceptions=True)
 
     async def _run(self, duty: Duty) -> None:
@@ -62,9 +66,9 @@
             async with asyncio.timeout(REPORT_TIMEOUT):
                 higher = await report(duty, token)
         except (TimeoutError, OSError) as error:
-            self._log.write("peers.duty.failed", duty=duty.name, reason=str(error) or "no answer in time")
+            self._log("peers.duty.failed", duty=duty.name, reason=str(error) or "no answer in time")
             return
         if higher is not None:
-            self._log.write("peers.duty.rejected", duty=duty.name, ballot=token[0], highest_ballot=higher[0])
+            self._log("peers.duty.rejected", duty=duty.name, ballot=token[0], highest_ballot=higher[0])
             # Not from within this task, which the call cancels.
             asyncio.get_running_loop().call_soon(self._on_rejected, duty.name, higher)
--- a/grebeproxy/peers/runtime.py
+++ b/grebeproxy/peers/runtime.py
@@ -28,7 +28,7 @@
         self.node = Node(config, instance, Random(instance), self.now())
         self._sealed = Sealed(config.key, instance, config.settings_digest)
         self._log = EventLog(self.now)
-        self._duty_tasks = DutyTasks(config.duties, self._token, self._on_duty_rejected, self._log)
+        self._duty_tasks = DutyTasks(config.duties, self._token, self._on_duty_rejected, self._log.write)
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._rejected: dict[str, int] = {}  # packets, by reason
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from heapq import heappop, heappush
 from itertools import count
 from pathlib import Path
@@ -20,11 +20,12 @@
 
 from grebeproxy import Choice
 from grebeproxy.config import parse
-from grebeproxy.net import events, manual_overrides
+from grebeproxy.net import admission, events, manual_overrides
 from grebeproxy.net.connections import ChangeLogConnection, Connection
 from grebeproxy.net.dialer import Dialer
 from grebeproxy.net.effects import carry_out
-from grebeproxy.net.router import Decide
+from grebeproxy.net.messages import ChangeLogUpdate
+from grebeproxy.net.router import Decide, RouterOptions
 from grebeproxy.net.runtime import Runtime
 from grebeproxy.net.timers import LoopTimers
 from grebeproxy.policy import interface as api
@@ -55,6 +56,15 @@
     return document
 
 
+def router_options(
+    known: Iterable[ChangeLogUpdate] = (), changes: dict[str, Any] | None = None
+) -> RouterOptions:
+    """The options of a router with the example's configuration, with other values at some paths."""
+    config = parse(with_changes(changes or {}))
+    bounds = admission.bounds(config.sockets, config.memory_mb)
+    return RouterOptions(config.settings, config.limits, config.changelog, bounds, seed=1, known=known)
+
+
 class Stubborn:
     """In the module's place: sends all to one engine, calls it off after 100 ms and sends it there again."""
 
--- a/tests/test_change_log_delays.py
+++ b/tests/test_change_log_delays.py
@@ -5,12 +5,11 @@
 from itertools import pairwise
 
 import pytest
-from exchange import with_changes
+from exchange import router_options
 
-from grebeproxy.config import parse
-from grebeproxy.net import admission, events, follower
+from grebeproxy.net import events, follower
 from grebeproxy.net.messages import Call, ChangeLogUpdate, Run
-from grebeproxy.net.router import Router, RouterOptions
+from grebeproxy.net.router import Router
 from grebeproxy.policy import interface as api
 
 # Seconds, of the example's settings, after a change was written in which new requests may still be sent.
@@ -22,7 +21,6 @@
     """A router, and a change log that responds to each dial with all events after ``latency`` seconds."""
 
     def __init__(self, latency: float) -> None:
-        config = parse(with_changes({}))
         known = [
             ChangeLogUpdate(
                 1,
@@ -36,14 +34,7 @@
         self.in_transit: list[tuple[float, list[ChangeLogUpdate]]] = []
         self.broken_until, self.dials = 0.0, 0
         self.hanging_dials = 0  # how many of the next dials never connect
-        options = RouterOptions(
-            config.settings,
-            config.limits,
-            changelog=config.changelog,
-            seed=1,
-            known=known,
-            bounds=admission.bounds(config.sockets, config.memory_mb),
-        )
+        options = router_options(known)
         self.router = Router(options, now=0.0)
         self.carry_out(self.router.start(0.0))
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,12 +6,11 @@
 from dataclasses import replace
 
 import pytest
-from exchange import with_changes
+from exchange import router_options
 
-from grebeproxy.config import parse
-from grebeproxy.net import admission, events
+from grebeproxy.net import events
 from grebeproxy.net import messages
-from grebeproxy.net.router import Router, RouterOptions
+from grebeproxy.net.router import Router
 from grebeproxy.policy import interface as api
 
 ENGINE, ADDRESS = "s-00000001", {"s-00000001": ("127.0.0.1", 9001)}
@@ -34,15 +33,7 @@
 
 def router_with_request(module: type[Scripted] = Scripted) -> Router:
     """A router whose one request waits for its connection, number 1, to open."""
-    config = parse(with_changes({}))
-    options = RouterOptions(
-        config.settings,
-        config.limits,
-        changelog=config.changelog,
-        seed=1,
-        bounds=admission.bounds(config.sockets, config.memory_mb),
-        known=[list_event(api.EngineState.UP)],
-    )
+    options = router_options([list_event(api.EngineState.UP)])
     router = Router(options, now=0.0, decide=module)
     router.start(0.0)
     router.step(0.0, [events.ChangeLogOpened(1)])
--- a/tests/test_late_decisions.py
+++ b/tests/test_late_decisions.py
@@ -14,12 +14,11 @@
 
 import pytest
 from conftest import RouterHarness, make_settings
-from exchange import with_changes
+from exchange import router_options
 from test_crossings import ADDRESS, ENGINE
 
-from grebeproxy.config import parse
-from grebeproxy.net import admission, events, messages
-from grebeproxy.net.router import Router, RouterOptions, clients
+from grebeproxy.net import events, messages
+from grebeproxy.net.router import Router, clients
 from grebeproxy.policy import interface as api
 
 CLIENT_TIMEOUT = 2.0  # seconds; shorter than the class's deadline by more than its latency objective
@@ -33,19 +32,14 @@
 
 def serving_router(*, marks_retries: bool = True) -> Router:
     """A router with one engine, and one client, whose requests had the same timeout until now."""
-    config = parse(with_changes({"settings.clients.marksRetry": marks_retries}))
-    lookup = next(cls for cls in config.settings.classes if cls.name == "lookup")
-    assert lookup.late_weight_factor == 0.0 and config.settings.clients_mark_retries is marks_retries
-    assert lookup.deadline - CLIENT_TIMEOUT + LATENESS > lookup.latency_objective
     engine_list = api.EngineList(api.ListKind.FULL, (api.Engine(ENGINE, "typ-a", "room-1"),), 1)
-    options = RouterOptions(
-        config.settings,
-        config.limits,
-        changelog=config.changelog,
-        seed=1,
-        bounds=admission.bounds(config.sockets, config.memory_mb),
-        known=[messages.ChangeLogUpdate(1, engine_list, ADDRESS)],
+    options = router_options(
+        [messages.ChangeLogUpdate(1, engine_list, ADDRESS)], {"settings.clients.marksRetry": marks_retries}
     )
+    settings = options.settings
+    lookup = next(cls for cls in settings.classes if cls.name == "lookup")
+    assert lookup.late_weight_factor == 0.0 and settings.clients_mark_retries is marks_retries
+    assert lookup.deadline - CLIENT_TIMEOUT + LATENESS > lookup.latency_objective
     router = Router(options, now=0.0)
     router.start(0.0)
     router.step(0.3, [events.ClientOpened(1)])
--- a/tests/test_peers_duties.py
+++ b/tests/test_peers_duties.py
@@ -77,7 +77,9 @@
         tokens: dict[str, Token] = {"nightly": TOKEN}
         rejections: list[tuple[str, Token]] = []
         log = EventLog(asyncio.get_running_loop().time)
-        tasks = DutyTasks((duty,), tokens.get, lambda name, token: rejections.append((name, token)), log)
+        tasks = DutyTasks(
+            (duty,), tokens.get, lambda name, token: rejections.append((name, token)), log.write
+        )
         tasks.start("nightly")
         while len(rejections) < 3:
             await asyncio.sleep(0.01)
@@ -106,7 +108,7 @@
 
 def test_a_report_that_fails_is_logged(capsys: pytest.CaptureFixture[str]) -> None:
     async def test(duty: Duty, receiver: Receiver) -> None:
-        tasks = DutyTasks((duty,), lambda name: TOKEN, lambda name, token: None, EventLog(lambda: 0.0))
+        tasks = DutyTasks((duty,), lambda name: TOKEN, lambda name, token: None, EventLog(lambda: 0.0).write)
         tasks.start("nightly")
         while len(receiver.requests) < 2:
             await asyncio.sleep(0.01)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -6,12 +6,12 @@
 import socket
 
 import pytest
-from exchange import with_changes
+from exchange import router_options, with_changes
 
 from grebeproxy.config import parse
-from grebeproxy.net import admission, events, follower
+from grebeproxy.net import events, follower
 from grebeproxy.net.messages import ChangeLogUpdate
-from grebeproxy.net.router import Router, RouterOptions
+from grebeproxy.net.router import Router
 from grebeproxy.net.runtime import Runtime
 from grebeproxy.policy import interface as api
 
@@ -19,14 +19,7 @@
 
 
 def starting_router() -> Router:
-    config = parse(with_changes({}))
-    options = RouterOptions(
-        config.settings,
-        config.limits,
-        changelog=config.changelog,
-        seed=1,
-        bounds=admission.bounds(config.sockets, config.memory_mb),
-    )
+    options = router_options()
     router = Router(options, now=0.0)
     assert LISTEN not in router.start(0.0)
     return router
