A stop requested while the process stood still counts from before the pause

Callers saw long requests end without an answer at SIGKILL, where SIGTERM had met a stopped process. Reproduced on real sockets: pause of 1.0 s, last answers 4.57 s after SIGTERM, kill after 3.7 s. Cause: the shutdown's times counted from the step that handled the signal. Change: PauseDetector knows when the loop ran last before a pause, from the wake-up that it asked for; a stop handled right after counts from then. It holds because the signal cannot have come before the loop last ran, when it would have been handled. Without a pause nothing changes (test).

--- a/grebeproxy/net/events.py
+++ b/grebeproxy/net/events.py
@@ -167,7 +167,12 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
-    """The process is to shut down gracefully."""
+    """The process is to shut down gracefully.
+
+    ``requested_at`` is the earliest time at which that may have been requested, by default that of the step.
+    """
+
+    requested_at: float | None = None
 
 
 ClientEvent = Union[ClientOpened, ClientMessageStarted, ClientMessageReceived, ClientClosed]
--- a/grebeproxy/net/router/shutdown.py
+++ b/grebeproxy/net/router/shutdown.py
@@ -44,21 +44,24 @@
         self._standby_since = None
         self._accept_until = float("inf")
 
-    def _stop(self) -> None:
-        """Begin the shutdown; once begun, further stops change nothing."""
+    def _stop(self, requested_at: float) -> None:
+        """Begin the shutdown; once begun, further stops change nothing.
+
+        Times count from when the stop was requested, as the platform counts the time until it kills.
+        """
         if self._stopping:
             return
         self._stopping = True
         longest_deadline = max(self._deadlines.values())
         killed_after = min(longest_deadline, KILL_SHARED if self._shared else KILL_ALONE)
-        last_answers_due = self.now + killed_after + KILL_MARGIN - OVERDUE
+        last_answers_due = requested_at + killed_after + KILL_MARGIN - OVERDUE
         self._accept_until = min(self._accept_until, last_answers_due - MIN_REMAINING)
         self._timers.add(last_answers_due, self._answer_all)
         if self._shared:  # the process that takes over accepts the connections still queued
             self._stop_listening()
         else:
-            self._timers.add(self.now + ACCEPT_AFTER_STOP, self._stop_listening)
-        self._timers.add(self.now + SERVE_AFTER_STOP, self._allow_exit)
+            self._timers.add(requested_at + ACCEPT_AFTER_STOP, self._stop_listening)
+        self._timers.add(requested_at + SERVE_AFTER_STOP, self._allow_exit)
 
     def _allow_exit(self) -> None:
         self._exit_when_answered = True
--- a/grebeproxy/net/router/state_machine.py
+++ b/grebeproxy/net/router/state_machine.py
@@ -114,8 +114,8 @@
                 self._merge_overrides(calls)
             case Reloaded():
                 self._reload(event)
-            case StopRequested():
-                self._stop()
+            case StopRequested(requested_at):
+                self._stop(self.now if requested_at is None else requested_at)
             case Woken():
                 self._wake_at = None
                 self._sockets_read = True
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -29,14 +29,13 @@
 from grebeproxy.net.log_line import log_line
 from grebeproxy.net.override_file import OverrideFile
 from grebeproxy.net.override_sync import OverrideSync
+from grebeproxy.net.pauses import MAX_LATENESS, PauseDetector
 from grebeproxy.net.timers import LoopTimers
 from grebeproxy.policy import Choice
 from grebeproxy.policy.interface import Settings
 
 LOG = logging.getLogger("grebeproxy")
 
-MAX_READ_AGE = 0.01  # seconds from reading sockets to a step, beyond which they are read once more
-
 
 class Runtime:
     """Runs one router on an event loop. Tests pass their own ``timers``."""
@@ -64,6 +63,7 @@
         self._done = asyncio.Event()
         self._events: list[events.Event] = []  # for the next step
         self._read_at = self.timers.now()  # when the first of these events was read
+        self._pauses = PauseDetector(self._read_at)
         self._stepping = False  # the router or its effects are running
         options = router.RouterOptions(
             config.settings,
@@ -166,8 +166,14 @@
             self._listener = None
 
     def terminate(self) -> None:
-        """Answer all open requests, then exit."""
-        self.feed(events.StopRequested())
+        """Answer all open requests, then exit.
+
+        A signal that came while the process was stopped is handled once it goes on: it may have come at any
+        time since the process ran last.
+        """
+        now = self.timers.now()
+        self._pauses.ran(now)
+        self.feed(events.StopRequested(self._pauses.ran_before(now)))
 
     def exit(self) -> None:
         """End ``serve`` once all that was written is sent."""
@@ -190,6 +196,7 @@
         self._events.extend(reported)
         if idle and reported:
             self._read_at = self.timers.now()
+            self._pauses.ran(self._read_at)
             self.timers.call_soon(self._step_unless_outdated)
 
     def _step_unless_outdated(self) -> None:
@@ -198,7 +205,7 @@
         The step would act after the pause on the input from before it: send a request whose client has left
         meanwhile, or time out a peer whose bytes wait unread.
         """
-        if self.timers.now() - self._read_at > MAX_READ_AGE:
+        if self.timers.now() - self._read_at > MAX_LATENESS:
             self.timers.call_soon(self._step)  # the loop polls its sockets before it makes this call
         else:
             self._step()
@@ -215,6 +222,7 @@
 
     def wake_at(self, due: float) -> None:
         """Feed ``Woken`` at that time; replaces an earlier call."""
+        self._pauses.wake_at = due
         self.timers.wake_at(due, self._wake)
 
     def _wake(self) -> None:
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -17,6 +17,8 @@
 from stage import Stage, answer, answers_in, ask, give_up, waiting
 
 PAUSE = 0.2  # seconds; longer than a request may still be sent after its client has left
+LONG_PAUSE = 1.0  # seconds
+KILLED_AFTER = 3.7  # seconds from SIGTERM, where deadlines are longer
 FIRST_REQUEST_PAUSE = 2.1  # seconds; longer than a connection may take to send its first request
 
 
@@ -74,3 +76,32 @@
         engine.sendall(answer(2 if b"%016x" % 2 in waiting(engine) else 1))
     stage.run(0.1)
     assert [number for _, number, error, _ in answers_in(waiting(late)) if error is None] == [2]
+
+
+def test_a_stop_that_came_during_a_pause_counts_from_before_it(stage: Stage) -> None:
+    """SIGTERM reaches a stopped process, whose clients go on; SIGKILL comes 3.7 s after SIGTERM was sent.
+
+    The router counted from when it handled the signal, so it would have answered the report, whose deadline
+    is 20 s, only after SIGKILL.
+    """
+    client = stage.client()
+    client.sendall(ask(1, "report", limit="20000"))
+    stage.engine()  # which hangs
+    stage.run()
+    terminated_at = time.monotonic()
+    time.sleep(LONG_PAUSE)
+    stage.terminate()
+    stage.until(lambda: answers_in(waiting(client)), seconds=LONG_PAUSE + KILLED_AFTER)
+    assert time.monotonic() < terminated_at + KILLED_AFTER
+
+
+def test_a_stop_without_a_pause_leaves_clients_their_time(stage: Stage) -> None:
+    client = stage.client()
+    client.sendall(ask(1, "report", limit="20000"))
+    engine = stage.engine()
+    stage.run()
+    stage.terminate()
+    stage.run(KILLED_AFTER - 0.4)
+    assert not waiting(client)
+    engine.sendall(answer(1))
+    stage.until(lambda: answers_in(waiting(client)))
