After a pause what came during it is read as a whole before the router acts

Reproduced on real sockets for a reset and an orderly close. Cause: the end of a connection is read one poll after the data before it, and a reset is reported a turn later; the step ran in between. Change: a heartbeat every 0.1 s shows that the process stood still; for 0.1 s after that three polls come before a step. It holds as any pause that lets a client be gone for 0.1 s delays a heartbeat, and three polls cover data, its end and the report of a reset.

--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from itertools import count
 
@@ -29,13 +29,15 @@
 from grebeproxy.net.log_line import log_line
 from grebeproxy.net.override_file import OverrideFile
 from grebeproxy.net.override_sync import OverrideSync
-from grebeproxy.net.pauses import MAX_LATENESS, PauseDetector
+from grebeproxy.net.pauses import HEARTBEAT_INTERVAL, MAX_LATENESS, PauseDetector
 from grebeproxy.net.timers import LoopTimers
 from grebeproxy.policy import Choice
 from grebeproxy.policy.interface import Settings
 
 LOG = logging.getLogger("grebeproxy")
 
+POLLS_AFTER_PAUSE = 3  # what was not read yet, the end behind it, and the report of a reset
+
 
 class Runtime:
     """Runs one router on an event loop. Tests pass their own ``timers``."""
@@ -113,7 +115,7 @@
         # Bound first, so that an address in use ends the start; the state machine decides when to listen.
         self._listener = self._bind()
         async with self.dialer:
-            with self._admin_endpoint():
+            with self._admin_endpoint(), self._heartbeats():
                 carry_out(self, self._router.start(self.timers.now()))
                 if self._overrides is not None:
                     self._overrides.poll()
@@ -171,9 +173,7 @@
         A signal that came while the process was stopped is handled once it goes on: it may have come at any
         time since the process ran last.
         """
-        now = self.timers.now()
-        self._pauses.ran(now)
-        self.feed(events.StopRequested(self._pauses.ran_before(now)))
+        self.feed(events.StopRequested(self._pauses.ran_before(self.timers.now())))
 
     def exit(self) -> None:
         """End ``serve`` once all that was written is sent."""
@@ -196,17 +196,25 @@
         self._events.extend(reported)
         if idle and reported:
             self._read_at = self.timers.now()
-            self._pauses.ran(self._read_at)
-            self.timers.call_soon(self._step_unless_outdated)
+            paused = self._pauses.ran(self._read_at)
+            self.timers.call_soon(self._poll_and_step if paused else self._step_unless_outdated)
 
     def _step_unless_outdated(self) -> None:
-        """Step, or read the sockets once more first, where the process stood still since they were read.
+        """Step, unless the process stood still since the sockets were read."""
+        if self.timers.now() - self._read_at > MAX_LATENESS:
+            self._poll_and_step()
+        else:
+            self._step()
+
+    def _poll_and_step(self, polls: int = POLLS_AFTER_PAUSE) -> None:
+        """Let the loop read its sockets some times more, then step.
 
-        The step would act after the pause on the input from before it: send a request whose client has left
-        meanwhile, or time out a peer whose bytes wait unread.
+        After a pause the step would act on a part of what came during it: send a request whose client has
+        left meanwhile, or time out a peer whose bytes wait unread. The end of a connection is read only after
+        the data before it, and a reset is reported one turn later still.
         """
-        if self.timers.now() - self._read_at > MAX_LATENESS:
-            self.timers.call_soon(self._step)  # the loop polls its sockets before it makes this call
+        if polls:  # the loop polls its sockets before it makes this call
+            self.timers.call_soon(lambda: self._poll_and_step(polls - 1))
         else:
             self._step()
 
@@ -220,9 +228,21 @@
         finally:
             self._stepping = False
 
+    @contextlib.contextmanager
+    def _heartbeats(self) -> Iterator[None]:
+        """Show regularly that the loop runs, until it is left."""
+        self._heartbeat()
+        try:
+            yield
+        finally:
+            self._heartbeat_timer.cancel()
+
+    def _heartbeat(self) -> None:
+        self._pauses.heartbeat(self.timers.now())
+        self._heartbeat_timer = self.timers.call_later(HEARTBEAT_INTERVAL, self._heartbeat)
+
     def wake_at(self, due: float) -> None:
         """Feed ``Woken`` at that time; replaces an earlier call."""
-        self._pauses.wake_at = due
         self.timers.wake_at(due, self._wake)
 
     def _wake(self) -> None:
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 import time
 from collections.abc import Callable, Iterator
 
@@ -17,6 +19,7 @@
 from stage import Stage, answer, answers_in, ask, give_up, waiting
 
 PAUSE = 0.2  # seconds; longer than a request may still be sent after its client has left
+IDLE = 0.3  # seconds without a request
 LONG_PAUSE = 1.0  # seconds
 KILLED_AFTER = 3.7  # seconds from SIGTERM, where deadlines are longer
 FIRST_REQUEST_PAUSE = 2.1  # seconds; longer than a connection may take to send its first request
@@ -65,6 +68,31 @@
     assert b"SELECT" in waiting(engine)  # the connection still serves
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_request_that_its_client_left_behind_during_a_pause_is_not_sent(stage: Stage, reset: bool) -> None:
+    """Found by the soak (seed 50): the request was read, and sent before the end behind it was read."""
+    staying, leaving = stage.client(), stage.client()
+    for number, client in ((1, staying), (2, leaving)):
+        client.sendall(ask(number))
+    engines = [stage.engine(number) for number in range(len(stage.engines))]  # one request is sent to each
+    stage.run()
+    for engine in engines:
+        engine.sendall(answer(2 if b"%016x" % 2 in waiting(engine) else 1))
+    stage.until(lambda: answers_in(waiting(leaving)))
+    stage.run(IDLE)
+
+    leaving.sendall(ask(3))
+    if reset:
+        leaving.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    leaving.close()
+    time.sleep(PAUSE)
+    stage.run(0.1)
+    assert not any(b"%016x" % 3 in waiting(engine) for engine in engines)
+    staying.sendall(ask(4))
+    stage.run(0.1)
+    assert any(b"%016x" % 4 in waiting(engine) for engine in engines)  # the connections still serve
+
+
 def test_a_first_request_that_waits_unread_during_a_pause_keeps_its_connection(stage: Stage) -> None:
     busy, late = stage.client(), stage.client()
     stage.run()
