--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -226,6 +226,15 @@
     recording.duty_reports.append(DutyReport(103.0, 1, "r0"))
 
 
+def two_holders_though_nobody_restarted(recording: Recording) -> None:
+    recording.duty_reports.append(DutyReport(103.0, 1, "r2"))
+
+
+def two_holders_though_one_restarted(recording: Recording) -> None:
+    recording.lives.append(Life(1, 102.5, 103.0, terminated_at=115.0, ended_at=116.0, status=0))
+    recording.duty_reports.append(DutyReport(103.0, 1, "r0"))
+
+
 def traffic_stays_up(recording: Recording) -> None:
     recording.datagrams += [110.0 + 0.01 * number for number in range(600)]
 
@@ -261,6 +270,8 @@
     too_many_descriptors: "too many descriptors",
     descriptors_leak: "descriptors leak",
     two_holders: "two holders of a lease",
+    two_holders_though_nobody_restarted: "two holders of a lease",
+    two_holders_though_one_restarted: "two holders of a lease",
     traffic_stays_up: "traffic stays up",
 }
 
@@ -327,6 +338,12 @@
     recording.duty_reports.append(DutyReport(108.45, 1, "r0"))
 
 
+def reported_by_a_holder_whose_voters_have_restarted(recording: Recording) -> None:
+    """Seed 34: all routers had restarted, and nobody remembered ballot 9 of a lease that was long over."""
+    recording.lives.append(Life(1, 102.5, 103.0, terminated_at=115.0, ended_at=116.0, status=0))
+    recording.duty_reports.append(DutyReport(105.0, 1, "r2"))
+
+
 @pytest.mark.parametrize(
     "allowed",
     [
@@ -337,6 +354,7 @@
         retried_what_never_ran,
         sent_within_the_drain_grace,
         reported_after_a_pause,
+        reported_by_a_holder_whose_voters_have_restarted,
     ],
     ids=lambda allowed: allowed.__name__,
 )
