--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -128,8 +128,10 @@
         """Listed tests that were selected and skipped."""
         return sorted(self.expected - self.ran)
 
-    def pytest_terminal_summary(self, terminalreporter: TerminalReporter) -> None:
+    def pytest_terminal_summary(self, terminalreporter: TerminalReporter, config: pytest.Config) -> None:
         """Print them."""
+        if config.option.collectonly:
+            return
         for red in self.reds:
             terminalreporter.write_line(red.line())
         for node in self.passed:
