A reload that lacks a key at any depth of the file is rejected, also within a class

Operators saw router.configuration.reloaded for a file that lacks the key group of a keyed class.

Cause: at SIGHUP the keys of the new file were compared only for the file itself, limits, settings, settings.limits and settings.obligations. The keys of classes and tenants, which are lists, and of familyInfo, prices, clients and stats were not, and a class without group got the default "all".

Change: missing_keys.py compares the files at any depth; classes, tenants and engines by name, other elements by position. A new class must have the keys that all classes in force share, except those that the settings may leave out. A key that turns to null counts as missing.

--- a/grebeproxy/config.py
+++ b/grebeproxy/config.py
@@ -8,13 +8,14 @@
 
 import contextlib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import TYPE_CHECKING, cast
 
 import orjson
 
 from grebeproxy.errors import GrebeproxyError
+from grebeproxy.missing_keys import first_missing_key
 from grebeproxy.net.changelog import host_and_port, known_events
 from grebeproxy.net.events import Address
 from grebeproxy.policy.interface import Settings
@@ -29,8 +30,6 @@
 MAX_DESCRIPTOR = 2**20
 # Environment variables that override a key of the file.
 VARIABLE_OF_KEY = {"name": "BALANCER_NAME", "listen": "BALANCER_LISTEN", "admin": "BALANCER_ADMIN"}
-# Objects whose keys are compared individually on a reload.
-COMPARED_OBJECTS = ("limits", "settings", "settings.limits", "settings.obligations")
 
 Document = Mapping[str, object]  # the unchecked contents of the file
 
@@ -56,11 +55,12 @@
     listen_fd: int | None = None  # the descriptor of a listening socket that the platform holds
     folder: Path | None = None  # shared by the processes of this router
     peers_file: str | None = None  # the operator file of routers that know each other
-    keys: frozenset[str] = frozenset()  # dotted paths of the keys in the file
+    document: Document = field(default_factory=dict)  # the contents of the file
 
     def check_against(self, earlier: Config) -> None:
         """Raise ``ConfigError`` if a key of the earlier file is missing: the new file may be truncated."""
-        for key in sorted(earlier.keys - self.keys):
+        key = first_missing_key(earlier.document, self.document)
+        if key is not None:
             raise ConfigError(f"{key}: missing")
 
     def updated_while_serving(self, new_config: Config) -> Config:
@@ -71,7 +71,7 @@
             settings=new_config.settings,
             limits=new_config.limits,
             known=new_config.known,
-            keys=new_config.keys,
+            document=new_config.document,
         )
 
 
@@ -126,7 +126,7 @@
         known=known,
         settings=module_settings,
         limits=wire_limits,
-        keys=frozenset(_key_paths(document)),
+        document=document,
         admin=_address(document, "admin") if document.get("admin") else None,
     )
 
@@ -151,14 +151,6 @@
         raise ConfigError(f"{prefix}{error}") from None
 
 
-def _key_paths(document: Document, prefix: str = "") -> Iterator[str]:
-    for key, value in document.items():
-        path = prefix + key
-        yield path
-        if path in COMPARED_OBJECTS:
-            yield from _key_paths(cast(Document, value), f"{path}.")
-
-
 def _object(document: Document, key: str) -> Document:
     value = document.get(key)
     if not isinstance(value, dict):
