Beyond a bound on memory the client that takes the most of it is disconnected

Where incomplete messages or unread answers of all clients together exceeded their bound, the client that sent or was sent the last bytes was disconnected, with its open requests, whoever held the memory.

Change: the connection with the largest incomplete message, or with the most unsent bytes, ends. Requests that are open on a connection whose client does not read are still given up: no answer would reach it.

Tests: test_a_client_with_an_open_request_outlasts_clients_with_larger_incomplete_messages and ..._that_read_nothing failed before: the client with the open request was disconnected in both.

--- a/grebeproxy/net/connections/client.py
+++ b/grebeproxy/net/connections/client.py
@@ -33,6 +33,15 @@
         """Number of bytes written to clients that are not sent yet."""
         return sum(client.unsent_bytes() for client in self.values())
 
+    def with_most_partial_bytes(self) -> ClientConnection:
+        """The connection whose incomplete message takes the most memory."""
+        return max(self.values(), key=lambda client: client.decoder.partial)
+
+    def limit_unsent_bytes(self, allowed: int) -> None:
+        """Abort the connections with the most unsent bytes until all together have at most ``allowed``."""
+        while self.unsent_bytes() > allowed:
+            max(self.values(), key=lambda client: client.unsent_bytes()).abort_unsent()
+
 
 class ClientConnection(Connection):
     """A client's connection."""
@@ -69,20 +78,23 @@
         return events.ClientMessageReceived(self.number, cast(FromClient, message), self.host.now())
 
     def partial_message_events(self) -> list[events.Event]:
-        """Report the start of a message, and stop reading if incomplete messages exceed their bound.
+        """Report the start of a message, and stop reading from a client if incomplete messages are too large.
 
-        The bound applies to the incomplete messages of all clients together.
+        The bound applies to the incomplete messages of all clients together. The client with the largest one
+        is disconnected, so that the others keep their connections.
         """
-        started = events.ClientMessageStarted(self.number)
-        if self._clients.partial_bytes() <= self._bounds.partial:
-            return [started]
-        return [started, self._stop_reading("incomplete messages of clients take too much memory")]
+        reported: list[events.Event] = [events.ClientMessageStarted(self.number)]
+        if self._clients.partial_bytes() > self._bounds.partial:
+            largest = self._clients.with_most_partial_bytes()
+            reported.append(largest.stop_reading("incomplete messages of clients take too much memory"))
+        return reported
 
     def on_malformed(self) -> None:
         """Stop reading. The router answers the open requests and closes the connection in its next step."""
-        self.host.feed(self._stop_reading("bytes that cannot be read"))
+        self.host.feed(self.stop_reading("bytes that cannot be read"))
 
-    def _stop_reading(self, reason: str) -> events.Event:
+    def stop_reading(self, reason: str) -> events.Event:
+        """Discard the incomplete message and all further input, and return the event that reports this."""
         self._readable = False
         self.decoder.discard()
         return events.ClientUnreadable(self.number, reason)
@@ -101,7 +113,7 @@
         self.decoder.apply_settings(settings)
 
     def write(self, data: bytes) -> None:
-        """Send an answer, and close the connection if the client's unsent answers exceed a bound.
+        """Send an answer, and disconnect clients that do not read theirs if unsent answers exceed a bound.
 
         The router doesn't pause reading while answers are unsent, because it has to notice at once that the
         client disconnects or cancels a request.
@@ -110,17 +122,15 @@
         if transport is None or self.detached or self.half_closed:
             return
         transport.write(data)
-        if self._exceeds_unsent_bounds():
-            self.end("the client does not read its answers")
-            self.host.closing.abort(self)
-
-    def _exceeds_unsent_bounds(self) -> bool:
-        """Whether unsent answers exceed the bound of this client, or the bound of all clients together."""
-        unsent = self.unsent_bytes()
-        allowed = self._bounds.unsent
-        if unsent > min(MAX_UNSENT_BYTES, allowed):
-            return True
-        return unsent > 0 and self._clients.unsent_bytes() > allowed
+        if self.unsent_bytes() > min(MAX_UNSENT_BYTES, self._bounds.unsent):
+            self.abort_unsent()
+        elif self.unsent_bytes():
+            self._clients.limit_unsent_bytes(self._bounds.unsent)
+
+    def abort_unsent(self) -> None:
+        """End the connection of a client that does not read, and discard its unsent answers."""
+        self.end("the client does not read its answers")
+        self.host.closing.abort(self)
 
     def close(self) -> None:
         """Close gracefully, without a report."""
