Test of an upgrade: its silent clients no longer wait for the start of the new process

Cause: the client connected before the new process started and wrote after it was ready. All 12 failures had a start of 2.0 s or more, and a client has 2 s for its first request, so the close was owed.

Change: the clients connect once the new process is ready, which is stopped meanwhile so that the old process accepts them. The test checks the same moments, now whatever a start takes.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -106,14 +106,20 @@
 
 def test_an_upgrade_loses_no_request_at_critical_moments(deployment: Deployment) -> None:
     old, _ = deployment.start()
-    silent, half, busy = connect(deployment.address), connect(deployment.address), connect(deployment.address)
-    half.sendall(request(1)[:20])
+    busy = connect(deployment.address)
     load = {"unique": "u1", "item": "k1", "limit": "9000"}
     busy.sendall(request(2, "load", **load))
     time.sleep(0.02)  # The load is in flight at its engine.
     new, _ = deployment.start()
+    # The start may take longer than the 2 s that a client has for its first request. The new process is
+    # stopped meanwhile, so that the old one accepts these connections.
+    new.send_signal(signal.SIGSTOP)
+    silent, half = connect(deployment.address), connect(deployment.address)
+    half.sendall(request(1)[:20])
+    time.sleep(0.02)
     busy.sendall(request(3, "load", **load | {"unique": "u2"}))
     old.send_signal(signal.SIGTERM)
+    new.send_signal(signal.SIGCONT)
     time.sleep(0.05)
     # The connections are between accept and first byte, within a request, and between two loads of one key.
     silent.sendall(request(4))
