A close by the router waits for answers that are not sent yet

A connection whose answer was written but not fully sent was aborted 0.5 s after it was half-closed or closed: in a drain, for example, a client that read slowly got half of its last answer while the process still waited for others.

Change: a closing connection with unsent bytes has 2 s, as at the exit of the process. At most 16 connections are closing, as before.

Tests: test_a_client_that_reads_late_gets_the_complete_answer_while_others_are_still_answered failed before with no answer read; test_a_half_closed_client_that_never_reads_is_aborted holds the bound.

--- a/grebeproxy/net/closing.py
+++ b/grebeproxy/net/closing.py
@@ -9,8 +9,10 @@
 
 CLOSE_TIMEOUT = 0.5  # seconds in which the peer may read the data sent to it and close its side
 MAX_CLOSING = 16  # closing connections; beyond this number the oldest one is aborted
-EXIT_GRACE = 2.0  # seconds from the beginning of the exit in which unsent bytes may still be sent
-POLL_INTERVAL = 0.005  # seconds between two checks whether connections are closed or have unsent bytes
+UNSENT_GRACE = (
+    2.0  # seconds from the close or the beginning of the exit in which unsent bytes may still be sent
+)
+POLL_INTERVAL = 0.005  # seconds between two such checks while the program exits
 
 
 class ClosingConnection(Protocol):
@@ -40,16 +42,22 @@
         if self._exit_deadline is None and len(self._timeouts) >= MAX_CLOSING:
             self.abort(next(iter(self._timeouts)))
         if connection not in self._timeouts:
-            self._start_timeout(connection, CLOSE_TIMEOUT)
-
-    def _start_timeout(self, connection: ClosingConnection, delay: float) -> None:
-        self._timeouts[connection] = self._timers.call_later(delay, lambda: self._time_out(connection))
-
-    def _time_out(self, connection: ClosingConnection) -> None:
-        """Abort the connection; while the program exits, one with unsent bytes gets more time."""
-        deadline = self._exit_deadline
-        if deadline is not None and self._timers.now() < deadline and connection.unsent_bytes():
-            self._start_timeout(connection, POLL_INTERVAL)
+            self._start_timeout(connection, CLOSE_TIMEOUT, self._timers.now() + UNSENT_GRACE)
+
+    def _start_timeout(self, connection: ClosingConnection, delay: float, deadline: float) -> None:
+        """Check the connection after ``delay`` seconds; unsent bytes may be sent until ``deadline``."""
+        self._timeouts[connection] = self._timers.call_later(
+            delay, lambda: self._time_out(connection, deadline)
+        )
+
+    def _time_out(self, connection: ClosingConnection, deadline: float) -> None:
+        """Abort the connection; one with unsent bytes gets more time."""
+        interval = CLOSE_TIMEOUT
+        if self._exit_deadline is not None:
+            interval = POLL_INTERVAL
+            deadline = max(deadline, self._exit_deadline)
+        if connection.unsent_bytes() and self._timers.now() < deadline:
+            self._start_timeout(connection, interval, deadline)
         else:
             self.abort(connection)
 
@@ -70,7 +78,7 @@
 
     def begin_exit(self) -> None:
         """For the exit, lift the limit on the number and give connections with unsent bytes more time."""
-        self._exit_deadline = self._timers.now() + EXIT_GRACE
+        self._exit_deadline = self._timers.now() + UNSENT_GRACE
 
     async def wait_until_closed(self) -> None:
         """Wait until no connection is left; timeouts abort those that do not close."""
--- a/grebeproxy/net/connections/client.py
+++ b/grebeproxy/net/connections/client.py
@@ -137,13 +137,13 @@
         self.close_gracefully()
 
     def close_or_abort(self) -> None:
-        """Close without a report: abort the connection if it is half-closed, else close it gracefully.
+        """Close without a report: abort a half-closed connection if all is sent, else close gracefully.
 
-        A half-closed connection is aborted because its client has had time to read. ``close_gracefully``
-        serves the other cases, in which unsent answers are still sent: a client that closes its own side
-        after the half-close, and all clients when the process exits.
+        The client of a half-closed connection has had time to read what was sent. In the other cases,
+        unsent answers are still sent: to a client that reads slowly or closes its own side after the
+        half-close, and to all clients when the process exits.
         """
-        if self.half_closed:
+        if self.half_closed and not self.unsent_bytes():
             self.detached = True
             self.host.closing.abort(self)
         else:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,6 +19,9 @@
     reached_end,
 )
 
+from grebeproxy.net import events
+from grebeproxy.net.messages import Standby
+
 PAGE = b"".join(b"%04d\txxxxxxx\ty\n" % row for row in range(400))  # a page of 6,000 bytes
 
 
@@ -259,6 +262,43 @@
     assert decode_answers(data)[0][1:3] == [1, None] and len(data) > 48_000
 
 
+def test_a_client_that_reads_late_gets_the_complete_answer_while_others_are_still_answered(
+    router: SteppedRouter,
+) -> None:
+    # Guards against an answer that is cut off: a half-closed connection was aborted over its unsent bytes.
+    client, other = router.connect_client(receive_buffer=2048), router.connect_client()
+    client.sendall(encode_request(1, "report", limit="9000", cpu="12000"))
+    other.sendall(encode_request(2, "report", limit="9000", cpu="12000"))
+    engine = router.accept_engine_connection()
+    router.run()
+    router.shrink_client_send_buffers()
+    engine.sendall(encode_long_answer(1))
+    router.run()
+    router.terminate()
+    router.run(
+        1.3
+    )  # longer than a connection is half-closed, and than a closing one without unsent bytes lasts
+    data = b""
+    for _ in range(60):
+        data += read_available(client)
+        router.run(0.01)
+    assert decode_answers(data)[0][1:3] == [1, None] and len(data) > 48_000
+
+
+def test_a_half_closed_client_that_never_reads_is_aborted(router: SteppedRouter) -> None:
+    client = router.connect_client(receive_buffer=2048)
+    client.sendall(encode_request(1, "report", limit="9000"))
+    engine = router.accept_engine_connection()
+    router.run()
+    router.shrink_client_send_buffers()
+    engine.sendall(encode_long_answer(1))
+    router.run()
+    router.loop.call_soon(router.runtime.feed, events.AdminOpened(1))
+    router.loop.call_soon(router.runtime.feed, events.AdminCallReceived(1, Standby()))
+    router.run(3.2)  # 0.5 s half-closed, 2 s with unsent bytes, and the intervals of the checks
+    assert not router.runtime.closing and not router.runtime.clients
+
+
 def exit_with_unread_answer(router: SteppedRouter) -> socket.socket:
     """Let the process exit while its client has read nothing yet of an answer of 48 KB."""
     client = router.connect_client(receive_buffer=2048)
