The checks of the settings' JSON form stand in a module of their own

Need: settings/decode.py held the decoder and its checks, which grew with the required keys. An unknown group was reported without its key ("settings.'row' is not a valid Scope").

Change: settings/validation.py checks; decode.py decodes. An unknown group is reported as settings.categories.2.group, with the groups that there are.

--- a/grebeproxy/settings/decode.py
+++ b/grebeproxy/settings/decode.py
@@ -5,16 +5,21 @@
 from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, NamedTuple, cast
 
-from grebeproxy.errors import GrebeproxyError
 from grebeproxy.policy import interface as api
 from grebeproxy.settings.load_report import REPORT_NAMES
+from grebeproxy.settings.validation import (
+    KEYED_EFFECT,
+    check_categories,
+    check_length,
+    check_max_attempts,
+    check_obligations,
+)
 from grebeproxy.units import seconds
 
 if TYPE_CHECKING:  # imports for types only would slow down each start by milliseconds
     from grebeproxy.settings.fields import (
         CategoryFields,
         FamilyFields,
-        LimitFields,
         ObligationFields,
         OrgFields,
         PriceFields,
@@ -24,25 +29,13 @@
 
 IDEMPOTENCY = {
     "retryable": api.Idempotency.IDEMPOTENT,
-    "dedup": api.Idempotency.IDEMPOTENCY_KEY,
+    KEYED_EFFECT: api.Idempotency.IDEMPOTENCY_KEY,
     "fragile": api.Idempotency.NON_IDEMPOTENT,
 }
-# What bounds the retries of a class with idempotency keys. A default could allow retries that run twice.
-REQUIRED_OF_KEYED_CLASSES = ("group", "window")
-# The times of rules that always apply. Without one of them, its rule would be lifted.
-REQUIRED_OBLIGATIONS = ("stopSendingWithin", "rampTime", "overloadFor")
-BUDGET_KEYS = ("extraFloor", "extraPerRequest")  # each needs the window ``countedOver``
 POLLED_REGISTRY_MODE = "ask"  # the registry mode in which the router polls the engine list
 NO_LOAD_REPORTS = "silent"  # the value of stats.via for engines that send no load reports
 
 
-class SettingsError(GrebeproxyError, ValueError):
-    """A settings field is invalid; the text begins with the field's name.
-
-    The error is also a ``ValueError`` for the sake of callers that catch that class.
-    """
-
-
 class ParallelLists(NamedTuple):
     """Lists with one value for each category (the first three) or for each kind of engine (the others)."""
 
@@ -68,8 +61,9 @@
     stats = fields.get("stats", {})
     categories = fields["categories"]
     lists = _lists(fields, family)
-    _check_numbers(categories, limits)
-    _check_given(obligations, REQUIRED_OBLIGATIONS, "obligations.")
+    check_categories(categories)
+    check_max_attempts(limits["mostTries"])
+    check_obligations(obligations)
     classes = _classes(categories, lists)
     budget = _attempt_budget(obligations)
     polls = fields.get("registryMode") == POLLED_REGISTRY_MODE
@@ -113,49 +107,14 @@
     kinds = fields["kinds"]
     cores = family.get("cpuOfKind") or [1.0] * len(kinds)
     memory_mb = family.get("kindMemoryMb") or [0.0] * len(kinds)
-    _check_length("dop", threads, categories)
-    _check_length("holdsTables", locks_data_set, categories)
-    _check_length("yieldsToLoads", waits_for_loads, categories)
-    _check_length("cpuOfKind", cores, kinds)
-    _check_length("kindMemoryMb", memory_mb, kinds)
+    check_length("dop", threads, categories)
+    check_length("holdsTables", locks_data_set, categories)
+    check_length("yieldsToLoads", waits_for_loads, categories)
+    check_length("cpuOfKind", cores, kinds)
+    check_length("kindMemoryMb", memory_mb, kinds)
     return ParallelLists(threads, locks_data_set, waits_for_loads, cores, memory_mb)
 
 
-def _check_length(key: str, values: Sequence[object], names: Sequence[object]) -> None:
-    if len(values) != len(names):
-        raise SettingsError(f"familyInfo.{key}: must have {len(names)} values, has {len(values)}")
-
-
-def _check_numbers(categories: list[CategoryFields], limits: LimitFields) -> None:
-    """Check the numbers that are needed to serve any request."""
-    for index, category in enumerate(categories):
-        prefix = f"categories.{index}."
-        _check_above_zero(category["aim"], f"{prefix}aim")
-        _check_above_zero(category["deadline"], f"{prefix}deadline")
-        _check_keyed_class(category, prefix)
-    max_attempts = limits["mostTries"]
-    _check_above_zero(max_attempts, "limits.mostTries")
-    if float(max_attempts) != int(max_attempts):
-        raise SettingsError("limits.mostTries: must be a whole number")
-
-
-def _check_keyed_class(category: CategoryFields, prefix: str) -> None:
-    if IDEMPOTENCY[category["effect"]] is api.Idempotency.IDEMPOTENCY_KEY:
-        _check_given(category, REQUIRED_OF_KEYED_CLASSES, prefix)
-
-
-def _check_given(fields: Mapping[str, object], keys: Sequence[str], prefix: str) -> None:
-    """Check that the keys are there and not null."""
-    for key in keys:
-        if fields.get(key) is None:
-            raise SettingsError(f"{prefix}{key}: missing")
-
-
-def _check_above_zero(value: object, key: str) -> None:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < float("inf"):
-        raise SettingsError(f"{key}: must be a number above 0")
-
-
 def _classes(categories: list[CategoryFields], lists: ParallelLists) -> tuple[api.QueryClass, ...]:
     return tuple(
         api.QueryClass(
@@ -196,8 +155,6 @@
 
 def _attempt_budget(obligations: ObligationFields) -> api.AttemptBudget | None:
     if "countedOver" not in obligations:
-        if any(key in obligations for key in BUDGET_KEYS):
-            raise SettingsError("obligations.countedOver: missing")
         return None
     return api.AttemptBudget(
         window=seconds(obligations["countedOver"]),
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -46,6 +46,8 @@
         ("settings.categories.2.window", None, "settings.categories.2.window: missing"),
         ("settings.categories.2.confinedTo", [], "settings.classes[load].only_zones:"),
         ("settings.obligations.rampTime", None, "settings.obligations.rampTime: missing"),
+        ("settings.categories.2.group", "row", "settings.categories.2.group: must be one of all, cell, zone"),
+        ("settings.limits.mostTries", 1.5, "settings.limits.mostTries: must be a whole number"),
         ("settings.obligations.extraFloor", 3.0, "settings.obligations.countedOver: missing"),
     ],
 )
