--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -44,6 +44,14 @@
     return engine
 
 
+def start_report(router: SteppedRouter, client: socket.socket) -> socket.socket:
+    """Let the client send request 1, a report, and return the engine's connection that it is forwarded on."""
+    client.sendall(encode_request(1, "report", limit="9000", cpu="12000"))
+    engine = router.accept_engine_connection()
+    router.run()
+    return engine
+
+
 def encode_long_answer(number: int) -> bytes:
     """Encode a result of eight pages."""
     rest = b"".join(encode_answer(number, PAGE, "batch", f"pos={page}") for page in range(1, 8))
@@ -245,9 +253,7 @@
 
 def test_the_last_answer_is_complete_though_bytes_arrive_after_the_half_close(router: SteppedRouter) -> None:
     client = router.connect_client(receive_buffer=2048)
-    client.sendall(encode_request(1, "report", limit="9000"))
-    engine = router.accept_engine_connection()
-    router.run()
+    engine = start_report(router, client)
     router.terminate()
     router.run(0.8)  # The process exits after this answer.
     router.shrink_client_send_buffers()
@@ -267,17 +273,15 @@
 ) -> None:
     # Guards against an answer that is cut off: a half-closed connection was aborted over its unsent bytes.
     client, other = router.connect_client(receive_buffer=2048), router.connect_client()
-    client.sendall(encode_request(1, "report", limit="9000", cpu="12000"))
+    engine = start_report(router, client)
     other.sendall(encode_request(2, "report", limit="9000", cpu="12000"))
-    engine = router.accept_engine_connection()
     router.run()
     router.shrink_client_send_buffers()
     engine.sendall(encode_long_answer(1))
     router.run()
     router.terminate()
-    router.run(
-        1.3
-    )  # longer than a connection is half-closed, and than a closing one without unsent bytes lasts
+    # This is longer than a connection stays half-closed, and than a closing one without unsent bytes lasts.
+    router.run(1.3)
     data = b""
     for _ in range(60):
         data += read_available(client)
@@ -287,9 +291,7 @@
 
 def test_a_half_closed_client_that_never_reads_is_aborted(router: SteppedRouter) -> None:
     client = router.connect_client(receive_buffer=2048)
-    client.sendall(encode_request(1, "report", limit="9000"))
-    engine = router.accept_engine_connection()
-    router.run()
+    engine = start_report(router, client)
     router.shrink_client_send_buffers()
     engine.sendall(encode_long_answer(1))
     router.run()
@@ -302,9 +304,7 @@
 def exit_with_unread_answer(router: SteppedRouter) -> socket.socket:
     """Let the process exit while its client has read nothing yet of an answer of 48 KB."""
     client = router.connect_client(receive_buffer=2048)
-    client.sendall(encode_request(1, "report", limit="9000"))
-    engine = router.accept_engine_connection()
-    router.run()
+    engine = start_report(router, client)
     router.terminate()
     router.run(0.8)  # The process exits after this answer.
     router.shrink_client_send_buffers()
@@ -451,9 +451,7 @@
 
 def test_a_second_sigterm_changes_nothing(router: SteppedRouter) -> None:
     client = router.connect_client()
-    client.sendall(encode_request(1, "report", limit="9000"))
-    engine = router.accept_engine_connection()
-    router.run()
+    engine = start_report(router, client)
     for _ in range(2):
         router.terminate()
         router.run(0.4)
