Closing connections: the exit's deadline alone holds during the exit

Need: the comment says that no connection outlasts the deadline of the exit, and one that was added right after its beginning could, by the milliseconds between.

Change: during the exit the deadline is the exit's.

Result: tests/test_endings.py passes.

--- a/grebeproxy/net/closing.py
+++ b/grebeproxy/net/closing.py
@@ -9,10 +9,8 @@
 
 CLOSE_TIMEOUT = 0.5  # seconds in which the peer may read the data sent to it and close its side
 MAX_CLOSING = 16  # closing connections; beyond this number the oldest one is aborted
-UNSENT_GRACE = (
-    2.0  # seconds from the close or the beginning of the exit in which unsent bytes may still be sent
-)
-POLL_INTERVAL = 0.005  # seconds between two such checks while the program exits
+UNSENT_GRACE = 2.0  # seconds from the close, or from the start of the exit, for unsent bytes
+POLL_INTERVAL = 0.005  # seconds between two checks for open connections and unsent bytes during the exit
 
 
 class ClosingConnection(Protocol):
@@ -54,8 +52,7 @@
         """Abort the connection; one with unsent bytes gets more time."""
         interval = CLOSE_TIMEOUT
         if self._exit_deadline is not None:
-            interval = POLL_INTERVAL
-            deadline = max(deadline, self._exit_deadline)
+            interval, deadline = POLL_INTERVAL, self._exit_deadline
         if connection.unsent_bytes() and self._timers.now() < deadline:
             self._start_timeout(connection, interval, deadline)
         else:
