Unsent bytes of closing connections are bounded together

These bytes left the bound on unread answers when the connection was closed, so that 16 connections could hold 16 times the bound of one client beside it.

Change: closing connections together hold at most the bound on unsent bytes; beyond it the oldest is aborted. One method ends a request with a final answer where three places did the same.

Tests: test_the_unsent_bytes_of_closing_connections_are_bounded failed before: none was aborted.

--- a/grebeproxy/net/closing.py
+++ b/grebeproxy/net/closing.py
@@ -24,10 +24,11 @@
 
 
 class ClosingConnections:
-    """Limits how long connections may be closing, and how many."""
+    """Limits how long connections may be closing, how many, and their unsent bytes together."""
 
-    def __init__(self, timers: LoopTimers) -> None:
+    def __init__(self, timers: LoopTimers, max_unsent_bytes: int) -> None:
         self._timers = timers
+        self._max_unsent_bytes = max_unsent_bytes
         self._exit_deadline: float | None = None  # set when the program exits; no connection outlasts it
         self._timeouts: dict[ClosingConnection, Cancellable] = {}  # by connection, oldest first
 
@@ -36,11 +37,16 @@
         return len(self._timeouts)
 
     def add(self, connection: ClosingConnection) -> None:
-        """Abort the connection if its peer does not close in time, and the oldest one beyond the limit."""
-        if self._exit_deadline is None and len(self._timeouts) >= MAX_CLOSING:
-            self.abort(next(iter(self._timeouts)))
+        """Abort the connection if its peer does not close in time, and the oldest ones beyond the limits."""
         if connection not in self._timeouts:
             self._start_timeout(connection, CLOSE_TIMEOUT, self._timers.now() + UNSENT_GRACE)
+        while self._exit_deadline is None and self._exceeds_limits():
+            self.abort(next(iter(self._timeouts)))
+
+    def _exceeds_limits(self) -> bool:
+        """Whether too many connections are closing, or with too many unsent bytes."""
+        unsent = sum(connection.unsent_bytes() for connection in self._timeouts)
+        return len(self._timeouts) > MAX_CLOSING or unsent > self._max_unsent_bytes
 
     def _start_timeout(self, connection: ClosingConnection, delay: float, deadline: float) -> None:
         """Check the connection after ``delay`` seconds; unsent bytes may be sent until ``deadline``."""
@@ -74,7 +80,7 @@
             self.abort(connection)
 
     def begin_exit(self) -> None:
-        """For the exit, lift the limit on the number and give connections with unsent bytes more time."""
+        """For the exit, lift the limits and give connections with unsent bytes more time."""
         self._exit_deadline = self._timers.now() + UNSENT_GRACE
 
     async def wait_until_closed(self) -> None:
--- a/grebeproxy/net/router/clients.py
+++ b/grebeproxy/net/router/clients.py
@@ -95,8 +95,7 @@
             text = log_line("router.client.disconnected", reason=reason, failed=len(open_requests))
             self._effects.append(LogLine(text, limited=True))
         for request in open_requests:
-            self._answer(request, Failed(request.call.message_id))
-            self._abandon_request(request)
+            self._end_request(request, Failed(request.call.message_id))
         self._close_client(client.conn)
 
     def _close_client(self, conn: int) -> None:
@@ -190,6 +189,11 @@
 
     # --- requests
 
+    def _end_request(self, request: Request, answer: ToClient) -> None:
+        """Send the final answer, whatever the decision module would do, and cancel the attempt in flight."""
+        self._answer(request, answer)
+        self._abandon_request(request)
+
     def _abandon_request(self, request: Request) -> None:
         """Record that the client no longer waits for the request, and cancel its attempt in flight."""
         self._stop_awaiting_answer(request)
@@ -203,5 +207,4 @@
         request = self._requests.get(txn)
         if request is not None and request.deadline == deadline and request.awaiting_answer:
             self._effects.append(LogLine(log_line("router.request.overdue", txn=txn)))
-            self._answer(request, Failed(request.call.message_id))
-            self._abandon_request(request)
+            self._end_request(request, Failed(request.call.message_id))
--- a/grebeproxy/net/router/shutdown.py
+++ b/grebeproxy/net/router/shutdown.py
@@ -80,10 +80,9 @@
         for request in [request for request in self._requests.values() if request.awaiting_answer]:
             message_id = request.call.message_id
             if request.call.query_class in idempotent:
-                self._answer(request, Rejected(message_id, self.settings.max_retry_after))
+                self._end_request(request, Rejected(message_id, self.settings.max_retry_after))
             else:
-                self._answer(request, Failed(message_id))
-            self._abandon_request(request)
+                self._end_request(request, Failed(message_id))
 
     def _half_close_idle_clients(self) -> None:
         """Half-close idle connections while clients are moved to other routers.
--- a/grebeproxy/net/runtime.py
+++ b/grebeproxy/net/runtime.py
@@ -59,7 +59,7 @@
         self.admins: dict[int, AdminConnection] = {}
         self._change_log: ChangeLogConnection | None = None
         self._connection_numbers = count(1)
-        self.closing = ClosingConnections(self.timers)
+        self.closing = ClosingConnections(self.timers, self.bounds.unsent)
         self.dialer = Dialer(self.report_dial_shortage)
         self._limited_log = RateLimitedLog(self.log, self.timers.now)
         self._overrides = self._override_sync()
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -40,6 +40,12 @@
     return b"".join(b"%d\t%03d\tx\n" % (number, row) for row in range(750))  # 6,000 bytes
 
 
+def long_result(number: int) -> str:
+    """An engine's answers with the eight pages of a result of 48,000 bytes."""
+    rest = "".join(answer_line(number, "batch", f"pos={pos}", page(pos)) for pos in range(1, 8))
+    return answer_line(number, "ok", "count=8", page(0)) + rest
+
+
 @given(st.permutations(range(1, 8)), st.sampled_from([0, 1000, 4099]))
 def test_a_result_of_48_000_bytes_is_complete_in_any_order_of_its_pages(order: list[int], cut: int) -> None:
     lines = [
@@ -76,11 +82,12 @@
     assert any(line.endswith(ends) for line in play("\n".join(lines)).splitlines())
 
 
+NO_MESSAGE = b"\xc1"
 HALF_MESSAGE = msgpack.packb([0, 9, "report", [{}, b"x" * 60_000]])[:-1]
 REPEATED_ID = msgpack.packb([0, 1, "report", [{"txn": "f" * 16, "limit": "9", "team": "city"}, b""]])
 VIOLATIONS = {
     "too long": (msgpack.packb([0, 2, "report", [{}, b"x" * 300_000]]), "router.message.malformed"),
-    "no message": (b"\xc1", "router.message.malformed"),
+    "no message": (NO_MESSAGE, "router.message.malformed"),
     "unusable": (msgpack.packb([0, 9, "report", []]) * 8, "router.client.disconnected"),
     "id twice": (REPEATED_ID, "router.client.disconnected"),
     "too much memory": (HALF_MESSAGE, "router.client.disconnected"),
@@ -114,9 +121,8 @@
 def test_a_client_that_reads_none_of_its_answers_is_disconnected() -> None:
     lines = [f"10 c1 > {request_line(1)}", "11 L1 up", "12 c1 full"]
     for number in range(1, 50):
-        rest = "".join(answer_line(number, "batch", f"pos={pos}", page(pos)) for pos in range(1, 8))
         lines += [
-            f"{20 + 10 * number} L1 > {answer_line(number, 'ok', 'count=8', page(0))}{rest}",
+            f"{20 + 10 * number} L1 > {long_result(number)}",
             f"{21 + 10 * number} c1 > {request_line(number + 1)}",
         ]
     played = play("\n".join(lines)).splitlines()
@@ -143,14 +149,25 @@
     lines += [f"10 c1 > {hog}", "11 L1 up", "12 c1 full"]
     lines += ["13 c2 > " + "".join(map(request_line, (11, 12))), "14 c2 full"]
     for number in range(1, 12):  # The eleventh answer exceeds the 524,288 bytes that are allowed in all.
-        rest = "".join(answer_line(number, "batch", f"pos={pos}", page(pos)) for pos in range(1, 8))
-        lines.append(f"{20 + number} L1 > {answer_line(number, 'ok', 'count=8', page(0))}{rest}")
+        lines.append(f"{20 + number} L1 > {long_result(number)}")
     lines += ["40 c2 drained", f"41 L1 > {answer_line(12, 'ok', 'count=1', page(0))}", "50 c2 wait"]
     played = play("\n".join(lines)).splitlines()
     assert [line for line in played if line.endswith(" hangup")] == ["31 c1 hangup"]
     assert any(line.startswith("41 c2 < ") for line in played)
 
 
+def test_the_unsent_bytes_of_closing_connections_are_bounded() -> None:
+    lines = ['set module "stubborn"', "set limits.memory_mb 24"]
+    for number in range(1, 13):  # The eleventh exceeds the 524,288 bytes that are allowed in all.
+        at = 7 * number  # Requests are forwarded within a round of 5 ms.
+        lines.append(f"{at} c{number} > {request_line(number)}")
+        lines += [f"{at + 1} L1 up"] if number == 1 else []
+        lines += [f"{at + 5} c{number} full", f"{at + 5} L1 > {long_result(number)}"]
+        lines.append(f"{at + 6} c{number} > {to_text(NO_MESSAGE)}")
+    played = play("\n".join([*lines, "95 c1 wait"])).splitlines()
+    assert [line for line in played if line.endswith(" hangup")] == ["83 c1 hangup", "90 c2 hangup"]
+
+
 def test_the_total_size_of_incomplete_results_is_bounded() -> None:
     lines = [
         'set module "stubborn"',
