--- a/review/standins2.py
+++ b/review/standins2.py
@@ -31,6 +31,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 WITH_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROW = b"1\ta\tb\n"
+PAGE_BYTES = 6000
 UP, DRAINING, GONE = 0, 1, 2
 
 
@@ -99,11 +100,12 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         commands = hiredis.Reader()
         open_runs: dict[bytes, tuple[Run, asyncio.TimerHandle]] = {}
+        pages: dict[bytes, list[bytes]] = {}  # of the results of which more than one page is asked for
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while data := await reader.read(65536):
                 commands.feed(data)
                 while (command := commands.gets()) is not False:
-                    self._on_command(command, writer, open_runs)
+                    self._on_command(command, writer, open_runs, pages)
         for run, timer in open_runs.values():
             timer.cancel()
             self._end(run, "closed")
@@ -114,6 +116,7 @@
         command: Any,
         writer: asyncio.StreamWriter,
         open_runs: dict[bytes, tuple[Run, asyncio.TimerHandle]],
+        pages: dict[bytes, list[bytes]],
     ) -> None:
         match command:
             case [b"REQ", txn, fields, statement]:
@@ -124,10 +127,16 @@
                 def answer() -> None:
                     del open_runs[txn]
                     self._end(run, "answered")
-                    _send(writer, txn, b"ok", b"count=1", self.result(run))
+                    pages[txn] = _pages(self.result(run))
+                    _send(writer, txn, b"ok", b"count=%d" % len(pages[txn]), pages[txn][0])
 
                 timer = asyncio.get_running_loop().call_later(self.run_time(run), answer)
                 open_runs[txn] = (run, timer)
+            case [b"FETCH", txn, number]:
+                found = pages.get(txn, [])[int(number) :][:1]
+                _send(writer, txn, b"batch" if found else b"error", b"pos=" + number, *(found or [b""]))
+            case [b"END", txn] if txn in pages:
+                del pages[txn]
             case [b"STOP" | b"END", txn] if txn in open_runs:
                 run, timer = open_runs.pop(txn)
                 timer.cancel()
@@ -140,6 +149,16 @@
         self.record.note(f"{self.name} {run.txn} {end} after {run.ended - run.began:.3f} s")
 
 
+def _pages(result: bytes) -> list[bytes]:
+    """The result in pages of whole rows, of which each has 6,000 bytes at most."""
+    pages = [b""]
+    for row in result.splitlines(keepends=True):
+        if len(pages[-1]) + len(row) > PAGE_BYTES:
+            pages.append(b"")
+        pages[-1] += row
+    return pages
+
+
 def _fields(text: bytes) -> dict[str, str]:
     if text == b"-":
         return {}
