Write the record of a review case as it is seen; a fault of a script is no broken rule

Cause: the record was written by a shared stand-in at the end of a run alone, so a run that broke off left none, and an unexpected error of a script ended it with status 1, which means a broken rule. What the cases play and check is unchanged.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import struct
+from pathlib import Path
 from typing import Any
 
 import msgpack
 from standins2 import WITH_TROUBLE, Case, Run, play
 
+RECORD = Path(__file__).with_name("record.txt")  # what was sent, answered and run
 LOOKUP = b"SELECT n FROM ops_3.t"
 REPORT = b"SELECT sum(n) FROM ops_4.t"
 PIECE = 7  # bytes that are written at once
@@ -54,4 +56,4 @@
 
 
 if __name__ == "__main__":
-    play(__file__, scenario)
+    play(RECORD, scenario)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -39,19 +39,33 @@
     """The case could not be played; this says nothing about the rule."""
 
 
+FAULTS: list[str] = []  # of the script and its stand-ins
+
+
+def guarded(handler: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., Coroutine[Any, Any, None]]:
+    """The handler of a connection, which notes a fault of its own; asyncio would keep it to itself."""
+
+    async def handle(*args: Any) -> None:
+        try:
+            await handler(*args)
+        except OSError:
+            pass  # The other side has ended the connection.
+        except Exception as error:
+            FAULTS.append(f"a stand-in failed: {type(error).__name__} {error}")
+            raise
+
+    return handle
+
+
 class Record:
-    """What was sent, answered and run, in the order in which it was seen."""
+    """What was sent, answered and run, written to the case's ``record.txt`` line by line as it is seen."""
 
-    def __init__(self, folder: Path) -> None:
-        self._path = folder / "record.txt"
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w", buffering=1)
         self._began = time.monotonic()
-        self._lines: list[str] = []
 
     def note(self, text: str) -> None:
-        self._lines.append(f"{time.monotonic() - self._began:8.3f} {text}")
-
-    def save(self) -> None:
-        self._path.write_text("\n".join(self._lines) + "\n")
+        self._file.write(f"{time.monotonic() - self._began:8.3f} {text}\n")
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
@@ -90,7 +104,7 @@
         self._server: asyncio.Server | None = None
 
     async def listen(self) -> None:
-        self._server = await asyncio.start_server(self._serve, HOST, self.port)
+        self._server = await asyncio.start_server(guarded(self._serve), HOST, self.port)
         self.port = int(self._server.sockets[0].getsockname()[1])
 
     def close(self) -> None:
@@ -185,7 +199,7 @@
         self._server: asyncio.Server | None = None
 
     async def listen(self) -> None:
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self._server = await asyncio.start_server(guarded(self._serve), HOST, 0)
         self.port = int(self._server.sockets[0].getsockname()[1])
 
     def close(self) -> None:
@@ -261,7 +275,7 @@
 
     async def connect(self) -> None:
         reader, self._writer = await asyncio.open_connection(HOST, self.port)
-        self._task = asyncio.create_task(self._read(reader))
+        self._task = asyncio.create_task(guarded(self._read)(reader))
 
     def prepare(
         self, query_class: str, limit_ms: int, statement: bytes, **fields: str
@@ -484,13 +498,27 @@
 
 
 def play(
-    folder: str, scenario: Callable[[Case], Coroutine[Any, Any, list[str]]], seconds: float = 110.0
+    record_file: Path, scenario: Callable[[Case], Coroutine[Any, Any, list[str]]], seconds: float = 110.0
 ) -> None:
-    """Play a scenario, which returns how the rule was broken, and exit with the case's status."""
-    record = Record(Path(folder).resolve().parent)
+    """Play a scenario, which returns how the rule was broken, and exit with the case's status.
+
+    A fault of the script or of a stand-in, or a signal that ends the script, is no broken rule: the case
+    could not run.
+    """
+    record = Record(record_file)
     record.note(f"TROUBLE={int(WITH_TROUBLE)}")
 
+    def on_fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if error is not None and not isinstance(error, OSError):
+            FAULTS.append(f"a stand-in failed: {type(error).__name__} {error}")
+
     async def run() -> list[str]:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        assert task is not None
+        loop.set_exception_handler(on_fault)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory(prefix="review-", ignore_cleanup_errors=True) as temporary:
             case = Case(record, Path(temporary))
             try:
@@ -500,18 +528,16 @@
                 case.end()
 
     try:
-        broken = asyncio.run(run())
-        status = BROKEN if broken else HELD
-    except (CannotRunError, OSError, TimeoutError) as error:
-        broken, status = [f"could not run: {type(error).__name__} {error}"], COULD_NOT_RUN
-    for line in broken:
+        lines = asyncio.run(run())
+        status = BROKEN if lines else HELD
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
+        FAULTS.append(f"{type(error).__name__} {error}")
+    if FAULTS:
+        lines, status = [f"could not run: {fault}" for fault in dict.fromkeys(FAULTS)], COULD_NOT_RUN
+    for line in lines:
         record.note(line)
         print(line)
-    record.note(f"exit {status}")
-    record.save()
-    print(
-        {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "the case could not run"}[
-            status
-        ]
-    )
+    words = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "the case could not run"}
+    record.note(f"exit {status}: {words[status]}")
+    print(words[status])
     sys.exit(status)
