Engines may write the length of an answer's array with leading zeros, as that of its parts

Callers saw: with an engine that writes *04 the connection was closed at the first answer, so its attempts counted as reset, and requests were tried elsewhere or failed. No engine of the tests writes this form; it was found by reading. The lengths of the parts were already read as numbers, whose form RESP calls one or more decimal digits. Change: both kinds of header are read by one function. A line that holds a length stays bounded at 16 bytes.

--- a/grebeproxy/net/resp.py
+++ b/grebeproxy/net/resp.py
@@ -23,7 +23,7 @@
 from grebeproxy.units import MS_PER_SECOND
 
 CRLF = b"\r\n"
-ANSWER_HEADER = b"*4"  # an array of four bulk strings
+ARRAY, BULK_STRING = b"*", b"$"  # first byte of a line that announces a length
 MAX_HEADER_BYTES = 16  # limit for a line that holds a length, including its line end
 MAX_PART_BYTES = (64, 16, 1024, 6000)  # limits for an answer's id, word, fields and page
 MAX_PAGES = 64  # limit for one result, above the 8 pages that a result has
@@ -104,7 +104,7 @@
         start = header_end + len(CRLF)
         if self._parts is not None:
             return self._decode_part(self._parts, header, start)
-        if header != ANSWER_HEADER:
+        if _announced_length(header, ARRAY) != len(MAX_PART_BYTES):
             raise BadFrameError("not an array of four bulk strings")
         self._parts = []
         self._position = start
@@ -112,11 +112,12 @@
 
     def _decode_part(self, parts: list[bytes], header: bytes, start: int) -> bool:
         """Decode the part that begins at ``start``, behind its header. Returns whether it was complete."""
-        if not (header.startswith(b"$") and header[1:].isdigit()):
+        length = _announced_length(header, BULK_STRING)
+        if length is None:
             raise BadFrameError("not a bulk string")
-        end = start + int(header[1:])
+        end = start + length
         # The announced length is checked, so that a part that announces 3 GB is never buffered.
-        if end - start > MAX_PART_BYTES[len(parts)]:
+        if length > MAX_PART_BYTES[len(parts)]:
             raise BadFrameError("an answer that is too long")
         if len(self._buffer) < end + len(CRLF):
             return False
@@ -128,6 +129,12 @@
         return True
 
 
+def _announced_length(header: bytes, first_byte: bytes) -> int | None:
+    """The length in the header of an array or a bulk string, which may have leading zeros; else ``None``."""
+    digits = header.removeprefix(first_byte)
+    return int(digits) if digits != header and digits.isdigit() else None
+
+
 class _AnswerFields(NamedTuple):
     """The fields of an answer that the router uses."""
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -112,6 +112,44 @@
         assert got.pages == (2 if "count=2" in fields else 1) and got.page == (3 if "pos=3" in fields else 0)
 
 
+@pytest.mark.parametrize("header", [b"*4", b"*04", b"*0000000000004"])
+@pytest.mark.parametrize("zeros", [b"", b"0", b"000"])
+def test_the_lengths_of_an_answer_may_have_leading_zeros(header: bytes, zeros: bytes) -> None:
+    # Guards against the cause of review/9 in the engines' protocol: an array's length was compared as text.
+    parts = (b"a" * 16, b"ok", b"count=2", b"1\t2\t3\n")
+    bulk_strings = b"".join(b"$%s%d\r\n%s\r\n" % (zeros, len(part), part) for part in parts)
+    data = header + b"\r\n" + bulk_strings
+    expected = messages.EngineAnswer("a" * 16, messages.AnswerKind.OK, parts[3], pages=2)
+    assert decode(engine_decoder(), [data]) == ([expected], None)
+    check_every_split(engine_decoder, data)
+
+
+@pytest.mark.parametrize(
+    ("header", "reason"),
+    [
+        (b"*3\r\n", "not an array of four bulk strings"),
+        (b"*40\r\n", "not an array of four bulk strings"),
+        (b"*-4\r\n", "not an array of four bulk strings"),
+        (b"*+4\r\n", "not an array of four bulk strings"),
+        (b"*\r\n", "not an array of four bulk strings"),
+        (b"$4\r\n", "not an array of four bulk strings"),
+        (b"**4\r\n", "not an array of four bulk strings"),
+        (b"*00000000000004\r", "expected a length, found a line that is too long"),
+        (b"*4\r\n$\r\n", "not a bulk string"),
+        (b"*4\r\n$-1\r\n", "not a bulk string"),
+        (b"*4\r\n*2\r\n", "not a bulk string"),
+        (b"*4\r\n$0065\r\n", "an answer that is too long"),
+    ],
+)
+def test_a_malformed_or_excessive_answer_is_rejected_at_the_end_of_the_line_that_shows_it(
+    header: bytes, reason: str
+) -> None:
+    decoder = engine_decoder()
+    assert decode(decoder, [header[:-1]]) == ([], None)
+    assert decode(decoder, [header[-1:]]) == ([], reason)
+    assert decode(engine_decoder(), [header + b"x" * 100]) == ([], reason)
+
+
 DECODERS = pytest.mark.parametrize(
     ("make_decoder", "message"),
     [
