An engine's id is the same in upper and in lower case, in the configuration and in operators' calls

Callers saw: where the known list writes an id with upper-case hex digits, a frame of the change log that drained or ended that engine had no effect, and requests were sent there on. An operator who typed the digits in the other case was answered NAK no such engine. No list of the tests writes this form; it was found by reading. Change: ids from JSON and from operators are brought to the form of the frames in grebeproxy/net/engine_id.py. Text that is no id stays as it is, so unknown ids are still answered NAK.

--- a/grebeproxy/net/admin_protocol.py
+++ b/grebeproxy/net/admin_protocol.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator
 
+from grebeproxy.net.engine_id import engine_id_from_text
 from grebeproxy.net.messages import (
     Active,
     AdminCall,
@@ -50,7 +51,7 @@
         case [verb] if verb in ROUTER_CALLS:
             return ROUTER_CALLS[verb]
         case [verb, engine] if verb in ENGINE_CALLS:
-            return ENGINE_CALLS[verb](engine)
+            return ENGINE_CALLS[verb](engine_id_from_text(engine))
     return UnknownCall()
 
 
--- a/grebeproxy/net/changelog.py
+++ b/grebeproxy/net/changelog.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from grebeproxy.errors import GrebeproxyError
+from grebeproxy.net.engine_id import engine_id_from_number, engine_id_from_text
 from grebeproxy.net.events import Address
 from grebeproxy.net.messages import BadFrameError, ChangeLogUpdate
 from grebeproxy.policy.interface import Engine, EngineList, EngineState, ListKind, Settings
@@ -74,7 +75,7 @@
         for number, host, port, state, zone, kind_index, cell, weight, started in RECORD.iter_unpack(records):
             if state >= len(STATES) or zone >= len(self._zones) or kind_index >= len(self._kinds):
                 raise BadFrameError("a record with an unknown state, zone or kind")
-            engine = f"s-{number:08x}"
+            engine = engine_id_from_number(number)
             addresses[engine] = (socket.inet_ntoa(host.to_bytes(4, "big")), port)
             engines.append(
                 Engine(
@@ -99,7 +100,7 @@
         engines: list[Engine] = []
         addresses: dict[str, Address] = {}
         for entry in known_list["endpoints"]:
-            addresses[entry["name"]] = host_and_port(entry["address"])
+            addresses[engine_id_from_text(entry["name"])] = host_and_port(entry["address"])
             engines.append(_known_engine(entry, clock))
         full_list = known_list["snapshot"] or not position  # the first event holds the full list
         list_kind = ListKind.FULL if full_list else ListKind.CHANGES
@@ -109,7 +110,7 @@
 def _known_engine(entry: EngineEntry, clock: Clock) -> Engine:
     started_ms = int(entry["since_ms"])
     return Engine(
-        id=entry["name"],
+        id=engine_id_from_text(entry["name"]),
         kind=entry["type"],
         zone=entry["zone"],
         cell=int(entry["group"]),
