Whole numbers in the settings may have any form that JSON has for them

Callers saw: a router whose settings have "balancers" or "me" as 200.0 ended at its start, and turned such a file down at a reload; "mostTries" as 4.0 was accepted. No file of the tests has this form; it was found by reading. Change: whole_number in settings/validation.py reads the three settings that are counts. A fraction, text, true or an infinite number is rejected as before, under the key of the file.

--- a/grebeproxy/settings/decode.py
+++ b/grebeproxy/settings/decode.py
@@ -11,8 +11,9 @@
     KEYED_EFFECT,
     check_categories,
     check_length,
-    check_max_attempts,
     check_obligations,
+    max_attempts,
+    whole_number,
 )
 from grebeproxy.units import seconds
 
@@ -62,7 +63,7 @@
     categories = fields["categories"]
     lists = _lists(fields, family)
     check_categories(categories)
-    check_max_attempts(limits["mostTries"])
+    attempts = max_attempts(limits["mostTries"])
     check_obligations(obligations)
     classes = _classes(categories, lists)
     budget = _attempt_budget(obligations)
@@ -70,8 +71,8 @@
     return api.Settings(
         classes=classes,
         kinds=_kinds(fields["kinds"], lists),
-        balancers=fields["balancers"],
-        index=fields["me"],
+        balancers=whole_number(fields["balancers"], "balancers"),
+        index=whole_number(fields["me"], "me"),
         zone=fields["zone"],
         zones=tuple(fields["zones"]),
         tenants=_tenants(fields.get("orgs", [])),
@@ -79,7 +80,7 @@
         rules=_rules(obligations, budget, polls=polls),
         prices=_prices(prices),
         tick=seconds(fields.get("round")),
-        max_attempts=int(limits["mostTries"]),
+        max_attempts=attempts,
         max_retry_after=seconds(limits["maxRetryAfter"]) if limits.get("retryAfter") else None,
         connect_timeout=seconds(limits["connectTimeout"]) if limits.get("connectTimeout") else None,
         may_cancel=bool(limits.get("cancel")),
--- a/grebeproxy/settings/validation.py
+++ b/grebeproxy/settings/validation.py
@@ -40,10 +40,17 @@
             raise SettingsError(f"{prefix}group: must be one of {', '.join(sorted(GROUPS))}")
 
 
-def check_max_attempts(value: object) -> None:
-    """Check the number of attempts that a request may have."""
-    if not _positive_number(value, "limits.mostTries").is_integer():
-        raise SettingsError("limits.mostTries: must be a whole number")
+def max_attempts(value: object) -> int:
+    """The number of attempts that a request may have."""
+    key = "limits.mostTries"
+    return whole_number(_positive_number(value, key), key)
+
+
+def whole_number(value: object, key: str) -> int:
+    """The value as an integer. JSON has several forms of a whole number, such as 2, 2.0 and 2e0."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or value % 1:
+        raise SettingsError(f"{key}: must be a whole number")
+    return int(value)
 
 
 def check_obligations(obligations: ObligationFields) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -10,6 +10,7 @@
 from exchange import CONFIG, with_changes
 
 from grebeproxy.config import ConfigError, load, parse
+from grebeproxy.net.changelog import known_events
 from grebeproxy.net.runtime import Runtime
 from grebeproxy.shapes.scanner import table_group
 
@@ -48,6 +49,12 @@
         ("settings.obligations.rampTime", None, "settings.obligations.rampTime: missing"),
         ("settings.categories.2.group", "row", "settings.categories.2.group: must be one of all, cell, zone"),
         ("settings.limits.mostTries", 1.5, "settings.limits.mostTries: must be a whole number"),
+        ("settings.limits.mostTries", True, "settings.limits.mostTries: must be a number above 0"),
+        ("settings.balancers", 1.5, "settings.balancers: must be a whole number"),
+        ("settings.balancers", "1", "settings.balancers: must be a whole number"),
+        ("settings.balancers", 0, "settings.balancers: must be 1 or more"),
+        ("settings.me", 0.5, "settings.me: must be a whole number"),
+        ("settings.me", -1.0, "settings.index:"),
         ("settings.obligations.extraFloor", 3.0, "settings.obligations.countedOver: missing"),
     ],
 )
@@ -82,6 +89,28 @@
         parse(document)
 
 
+def with_floats(value: Any) -> Any:
+    """A copy of a JSON value in which each whole number is written as a fraction, such as 2.0."""
+    if isinstance(value, dict):
+        return {key: with_floats(part) for key, part in value.items()}
+    if isinstance(value, list):
+        return [with_floats(part) for part in value]
+    return float(value) if type(value) is int else value
+
+
+def test_a_whole_number_may_have_any_form_that_json_has_for_it() -> None:
+    # Guards against the cause of review/9 in the configuration: "balancers" and "me" were rejected as 1.0.
+    plain, floats = with_changes({}), with_floats(with_changes({}))
+    assert b'"balancers":1.0,' in orjson.dumps(floats)
+    expected, config = parse(plain), parse(floats)
+    assert (config.settings, config.limits) == (expected.settings, expected.limits)
+    assert (config.sockets, config.memory_mb) == (expected.sockets, expected.memory_mb)
+    events = [list(known_events(item.known, float)) for item in (expected, config)]
+    assert events[0] == events[1] and events[0]
+    for number in (config.settings.balancers, config.settings.index, config.settings.max_attempts):
+        assert type(number) is int
+
+
 @pytest.mark.parametrize("content", [b"{", b"[]", orjson.dumps({})])
 def test_a_file_without_a_configuration_is_rejected(tmp_path: Path, content: bytes) -> None:
     (tmp_path / "config.json").write_bytes(content)
