Numbers in the fields of a request may have redundant zeros

Callers saw: a limit, cpu or mb with more than 12 digits before the point, 20 behind it or 2 in the exponent was answered BadField also where the further digits are zeros that change nothing, such as 1.5e+003 or 1500 with 30 decimals. Eight such requests end their connection. No client of the tests writes them; it was found by reading. Change: leading zeros, and zeros at the end of the decimals, are passed over before the digits are counted, possessively, so the time is linear. The bounds on digits are unchanged, and so is what is refused otherwise. Result: 3 new cases failed on the code before and pass now; 25 of text that is no number or too great pass on both.

--- a/grebeproxy/net/msgpack_rpc.py
+++ b/grebeproxy/net/msgpack_rpc.py
@@ -32,7 +32,11 @@
 MAX_MESSAGE_ID = 2**32 - 1
 UNBOUNDED_MB = 1e6  # the limit if the settings name no memory size for any kind of engine
 # The pattern is stricter than float(), which also accepts "nan", "1_0", " 1" and digits of other scripts.
-NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,20})?([eE][-+]?[0-9]{1,2})?")
+# Zeros that do not change a number's value do not count in the limits on its digits. The quantifiers are
+# possessive, because with backtracking the time would grow with the square of the number of zeros.
+NUMBER = re.compile(
+    r"(?=[0-9])0*+[0-9]{0,12}+(?:\.(?=[0-9])[0-9]{0,20}+0*+)?+(?:[eE][-+]?(?=[0-9])0*+[0-9]{0,2}+)?+"
+)
 TXN_ID = re.compile(r"[0-9a-fA-F]{16}")
 # Values that are forwarded to engines, in whose protocol a comma or an equals sign ends a field.
 TOKEN = re.compile(r"[^,=\s\x00-\x1f]{1,64}")
--- a/tests/test_message_forms.py
+++ b/tests/test_message_forms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import timeit
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +16,7 @@
 from test_codecs import check_every_split, client_decoder, decode
 
 from grebeproxy.net import messages
+from grebeproxy.net.input_queue import TIME_PER_TURN
 from grebeproxy.net.msgpack_framing import MAX_MESSAGE_BYTES
 
 FIELDS = {"txn": "9b1f03aa5c7e2d41", "limit": "1500", "team": "a", "cpu": "820.0", "other": "x" * 40}
@@ -56,6 +58,70 @@
     check_every_split(client_decoder, packed)
 
 
+@pytest.mark.parametrize(
+    ("field", "spellings"),
+    [
+        ("limit", ["1500", "1500.0", "1.5e3", "15E+2", "1.5e+003", "0" * 13 + "1500", "1500." + "0" * 30]),
+        (
+            "cpu",
+            ["820.5", "0820.50", "8.205e2", "820.5" + "0" * 30, "0" * 40 + "820.5e0", "8205e-0000000001"],
+        ),
+        ("mb", ["96", "096.000", "0.96e2", "0" * 1000 + "96"]),
+    ],
+)
+def test_a_number_has_the_same_meaning_with_and_without_redundant_zeros(
+    field: str, spellings: list[str]
+) -> None:
+    # Guards against the cause of review/9 in the fields of a request: all digits counted, also zeros that do
+    # not change the number, and eight requests that were rejected for it ended their connection.
+    def call(text: str) -> object:
+        [message], _ = decode(
+            client_decoder(), [msgpack.packb([0, 1, "short", [{**FIELDS, field: text}, b""]])]
+        )
+        return message
+
+    assert isinstance(call(spellings[0]), messages.Call)
+    assert [call(text) for text in spellings] == [call(spellings[0])] * len(spellings)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        *(
+            "",
+            "1_0",
+            " 1",
+            "1 ",
+            "+1",
+            "-1",
+            "-0",
+            ".5",
+            "5.",
+            "5.e1",
+            "0x1",
+            "nan",
+            "inf",
+            "1e",
+            "1e9.0",
+            "\u0661",
+        ),
+        *("1" * 13, "0" * 100 + "1" * 13, "0." + "1" * 21, "0." + "1" * 21 + "0" * 9, "0." + "0" * 20 + "1"),
+        *("1e100", "1e0100", "1e99", "0" * 20_000 + "." + "0" * 20_000 + "e" + "0" * 20_000 + "x"),
+    ],
+)
+def test_text_that_is_no_number_or_too_great_is_rejected(text: str) -> None:
+    for field in ("limit", "cpu", "mb"):
+        packed = msgpack.packb([0, 1, "short", [{**FIELDS, field: text}, b""]])
+        assert decode(client_decoder(), [packed]) == ([messages.InvalidRequest(1, field)], None)
+
+
+def test_a_number_with_very_many_zeros_does_not_occupy_the_event_loop() -> None:
+    zeros = "0" * 20_000
+    packed = msgpack.packb([0, 1, "short", [{**FIELDS, "limit": f"{zeros}.{zeros}e{zeros}x"}, b""]])
+    times = timeit.repeat(lambda: list(client_decoder().feed(packed)), number=1, repeat=5)
+    assert min(times) < TIME_PER_TURN
+
+
 def message_of(size: int) -> list[Any]:
     """A request that has this size in its shortest form."""
     fields, short_body = {**FIELDS, "list": ODD_VALUES}, b"x" * 256
