A ballot in the answer to a duty's report may have leading zeros

Callers saw: a receiver that pads ballots with zeros to more than 16 digits was logged as peers.duty.failed, and the router reported on under its lower token instead of giving up the lease. It was found by reading; peers are off by default. Change: leading zeros are passed over before the digits are counted. The line stays bounded by the stream's limit.

--- a/grebeproxy/peers/duty_client.py
+++ b/grebeproxy/peers/duty_client.py
@@ -18,7 +18,7 @@
 from grebeproxy.peers.operator_file import Duty
 
 REPORT_TIMEOUT = 2.0  # seconds for one report, from connecting to the answer
-MAX_BALLOT_DIGITS = 16
+MAX_BALLOT_DIGITS = 16  # without leading zeros
 MAX_LOGGED_ANSWER_BYTES = 40  # bytes of an invalid answer that an error quotes
 
 
@@ -58,6 +58,8 @@
     match line.decode("utf-8", "replace").split():
         case ["ACK", *_]:
             return None
-        case ["NAK", ballot, holder] if ballot.isdecimal() and len(ballot) <= MAX_BALLOT_DIGITS:
-            return Token(int(ballot), holder)
+        case ["NAK", ballot, holder] if ballot.isdecimal():
+            digits = ballot.lstrip("0") or "0"
+            if len(digits) <= MAX_BALLOT_DIGITS:
+                return Token(int(digits), holder)
     raise DutyAnswerError(f"invalid answer: {line[:MAX_LOGGED_ANSWER_BYTES]!r}")
--- a/tests/test_peers_duties.py
+++ b/tests/test_peers_duties.py
@@ -59,8 +59,22 @@
     run_with_receiver(answer, test)
 
 
+@pytest.mark.parametrize("zeros", [1, 16, 5000])
+def test_a_ballot_may_have_leading_zeros(zeros: int) -> None:
+    # Guards against the cause of review/9 in a duty's report: zeros that do not change a ballot counted in
+    # the limit on its digits, and the report counted as failed instead of rejected.
+    async def test(duty: Duty, receiver: Receiver) -> None:
+        assert await report(duty, TOKEN) == Token(9, "n2")
+
+    run_with_receiver(b"NAK " + b"0" * zeros + b"9 n2\n", test)
+
+
 @pytest.mark.parametrize(
-    "answer", [b"NAK\n", b"NAK x n2\n", b"NAK " + b"9" * 17 + b" n2\n", b"\xff\n", b"\n"]
+    "answer",
+    [
+        *(b"NAK\n", b"NAK x n2\n", b"NAK " + b"9" * 17 + b" n2\n", b"\xff\n", b"\n"),
+        *(b"NAK 0" + b"9" * 17 + b" n2\n", b"NAK -9 n2\n", b"NAK +9 n2\n", b"NAK 9_0 n2\n"),
+    ],
 )
 def test_any_other_answer_is_an_error(answer: bytes) -> None:
     async def test(duty: Duty, receiver: Receiver) -> None:
