Tests of message forms on a live router and between routers; one function writes an engine's id

Change: a client writes a request, a health check and a cancellation in the widest forms, in single bytes, to a live router; packets between routers are opened in all forms of their values. The lab calls net/engine_id.py where it wrote ids itself.

--- a/grebeproxy/lab/capacity/measure/engines.py
+++ b/grebeproxy/lab/capacity/measure/engines.py
@@ -6,6 +6,7 @@
 from typing import TypedDict
 
 from grebeproxy.net.changelog import FULL, HEAD, RECORD
+from grebeproxy.net.engine_id import engine_id_from_number
 from grebeproxy.policy import interface as api
 
 ZONES = tuple(f"room-{number}" for number in range(1, 7))
@@ -50,11 +51,6 @@
     results: list[KnownResult]
 
 
-def engine_name(number: int) -> str:
-    """Return the name that the change log's codec gives an engine."""
-    return f"s-{number:08x}"
-
-
 def engine_host(number: int) -> str:
     """Return the loopback address of an engine."""
     return ".".join(str(byte) for byte in struct.pack(">I", FIRST_HOST + number))
@@ -64,7 +60,10 @@
     """Return warm engines, spread over all zones and kinds, as the decision module receives them."""
     return tuple(
         api.Engine(
-            engine_name(number), KINDS[number % len(KINDS)], ZONES[number % len(ZONES)], number % CELLS
+            engine_id_from_number(number),
+            KINDS[number % len(KINDS)],
+            ZONES[number % len(ZONES)],
+            number % CELLS,
         )
         for number in range(count)
     )
@@ -74,7 +73,7 @@
     """Return a full list as the ``known`` field of a router's configuration."""
     endpoints: list[KnownEngine] = [
         {
-            "name": engine_name(number),
+            "name": engine_id_from_number(number),
             "address": f"{engine_host(number)}:{port}",
             "zone": ZONES[number % len(ZONES)],
             "type": KINDS[number % len(KINDS)],
--- a/grebeproxy/lab/subsets/cost.py
+++ b/grebeproxy/lab/subsets/cost.py
@@ -7,6 +7,7 @@
 from statistics import median
 
 from grebeproxy.lab.subsets.router_subsets import BUILDERS, CircleRouter
+from grebeproxy.net.engine_id import engine_id_from_number
 
 HASH_MULTIPLIER = 2654435761  # spreads consecutive numbers over 32 bits (multiplicative hashing)
 HASH_MODULUS = 2**32
@@ -21,7 +22,7 @@
 def cost(name: str, routers: int, engines: int, size: int) -> dict[str, float]:
     """CPU microseconds to compute one router's subset, to apply one change, and to count sharers."""
     build = BUILDERS[name]
-    names = [f"s-{number * HASH_MULTIPLIER % HASH_MODULUS:08x}" for number in range(engines)]
+    names = [engine_id_from_number(number * HASH_MULTIPLIER % HASH_MODULUS) for number in range(engines)]
     router = routers // 2
     size = min(size, engines)
     state = build(names, router, routers, size)
--- a/tests/test_membership_wire.py
+++ b/tests/test_membership_wire.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from message_forms import Choose, pack
 
 from grebeproxy.membership.model import Fact, Kind, Message, State
 from grebeproxy.membership.wire import (
@@ -141,6 +142,18 @@
             receiver.open(build_packet(version, body))
 
 
+@given(MESSAGES, st.randoms(use_true_random=False).map(lambda random: random.choice))
+def test_a_packet_has_the_same_result_in_all_forms_of_its_values(message: Message, choose: Choose) -> None:
+    sender, receiver = codec_pair()
+    body = pack([5, 1, 7, pack_message(message)], choose)
+    packet = bytes([2]) + sender._digest(2, body) + body
+    if len(packet) <= MAX_PACKET_BYTES:
+        assert unpack_message(receiver.open(packet)) == message
+    else:
+        with pytest.raises(WireError, match="wrong_length"):
+            receiver.open(packet)
+
+
 def test_a_replayed_packet_is_rejected_in_any_order() -> None:
     sender, receiver = codec_pair()
     packets = [sender.seal([n]) for n in range(200)]
--- a/tests/test_message_forms.py
+++ b/tests/test_message_forms.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 import timeit
 from pathlib import Path
@@ -12,6 +13,7 @@
 from exchange import FOLDER, play, to_bytes, to_text
 from hypothesis import given
 from hypothesis import strategies as st
+from live_router import LOOKUP_DEADLINE, encode_request, live_router, run
 from message_forms import ARRAY_HEADERS, Choose, headers, pack, shortest, widest
 from test_codecs import check_every_split, client_decoder, decode
 
@@ -224,3 +226,32 @@
     wide = [in_widest_forms(line) for line in lines]
     assert wide != lines or not any(CLIENT_INPUT.fullmatch(line) for line in lines)
     assert play("\n".join(wide), cut).splitlines() == wide
+
+
+def test_a_live_router_serves_a_client_that_writes_the_widest_forms_in_single_bytes() -> None:
+    async def scenario() -> None:
+        async with live_router() as router:
+            reader, writer = await asyncio.open_connection(*router.address)
+            sent = [
+                msgpack.unpackb(encode_request(1, 1)),
+                [0, 2, "probe", [{}]],
+                msgpack.unpackb(encode_request(3, 3)),
+                [2, "giveUp", [3]],
+                msgpack.unpackb(encode_request(4, 4)),
+                [0, 5, "probe", [{}]],
+            ]
+            for message in sent:
+                for byte in pack(message, widest):
+                    writer.write(bytes([byte]))
+                    await asyncio.sleep(0)
+            answers: dict[int, tuple[Any, Any]] = {}
+            unpacker = msgpack.Unpacker()
+            async with asyncio.timeout(LOOKUP_DEADLINE):
+                while not answers.keys() >= {1, 2, 4, 5}:
+                    unpacker.feed(await reader.readexactly(1))
+                    answers |= {number: (error, result) for _, number, error, result in unpacker}
+            assert [answers[number][0] for number in (1, 2, 4, 5)] == [None] * 4
+            assert answers[2] == answers[5] == (None, [True, {}])
+            writer.close()
+
+    run(scenario())
