A float beyond the range of float 32 in a client's message raises no error

A request with such a float in a field that is not read, or any bytes that contain one, raised OverflowError out of the decoder, which handles the errors of malformed bytes alone. Cause: the shortest form of a number was found by packing it with float 32, also where its range does not hold it. Change: such a float has one form, and its size is that of this form.

--- a/grebeproxy/net/msgpack_framing.py
+++ b/grebeproxy/net/msgpack_framing.py
@@ -173,5 +173,8 @@
 def _shortest_number_size(packed: bytes) -> int:
     """The size of the shortest form of a number, nil or bool; a float is only shortened if it is the same."""
     number = msgpack.unpackb(packed)
-    shortened: bytes = msgpack.packb(number, use_single_float=True)
+    try:
+        shortened: bytes = msgpack.packb(number, use_single_float=True)
+    except OverflowError:  # a float 64 beyond the range of float 32
+        return len(packed)
     return len(shortened if msgpack.unpackb(shortened) == number else packed)
--- a/tests/message_forms.py
+++ b/tests/message_forms.py
@@ -64,6 +64,16 @@
     ]
 
 
+def float_forms(number: float) -> list[bytes]:
+    """All forms of a float that hold exactly this number."""
+    double = b"\xcb" + struct.pack(">d", number)
+    try:
+        single = struct.pack(">f", number)
+    except OverflowError:
+        return [double]
+    return [b"\xca" + single, double] if struct.unpack(">f", single)[0] == number else [double]
+
+
 def pack(value: object, choose: Choose) -> bytes:
     """Pack a value; ``choose`` chooses the form of each part."""
     match value:
@@ -72,9 +82,7 @@
         case int():
             return choose(integer_forms(value))
         case float():
-            single = struct.pack(">f", value)
-            forms = [b"\xca" + single] if struct.unpack(">f", single)[0] == value else []
-            return choose([*forms, b"\xcb" + struct.pack(">d", value)])
+            return choose(float_forms(value))
         case str():
             encoded = value.encode()
             return choose(headers(len(encoded), STRING_HEADERS, FIXED_STRING)) + encoded
--- a/tests/test_message_forms.py
+++ b/tests/test_message_forms.py
@@ -11,7 +11,7 @@
 import msgpack
 import pytest
 from exchange import FOLDER, play, to_bytes, to_text
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from live_router import LOOKUP_DEADLINE, encode_request, live_router, run
 from message_forms import ARRAY_HEADERS, Choose, headers, pack, shortest, widest
@@ -22,7 +22,7 @@
 from grebeproxy.net.msgpack_framing import MAX_MESSAGE_BYTES
 
 FIELDS = {"txn": "9b1f03aa5c7e2d41", "limit": "1500", "team": "a", "cpu": "820.0", "other": "x" * 40}
-ODD_VALUES = [1.5, 0.1, -5, -(2**40), 2**63, None, {"a": True}]
+ODD_VALUES = [1.5, 0.1, 1e300, float("-inf"), -5, -(2**40), 2**63, None, {"a": True}]
 MESSAGES: dict[str, list[Any]] = {
     "request": [0, 7, "short", [FIELDS, b"SELECT n FROM sales_17.orders"]],
     "request with a great id": [0, 2**32 - 1, "long", [FIELDS, b""]],
@@ -124,6 +124,17 @@
     assert min(times) < TIME_PER_TURN
 
 
+@given(number=st.floats(), choose=CHOOSE)
+@example(number=1e300, choose=widest)
+def test_any_float_is_decoded_although_no_field_is_one(number: float, choose: Choose) -> None:
+    # Guards against an error outside the protocol's: a float beyond the range of float 32 could not be sized.
+    fields: dict[str, Any] = {**FIELDS, "other": number}
+    packed = pack([0, 1, "short", [fields, b""]], choose)
+    [call], error = decode(client_decoder(), [packed])
+    assert error is None and isinstance(call, messages.Call)
+    check_every_split(client_decoder, packed)
+
+
 def message_of(size: int) -> list[Any]:
     """A request that has this size in its shortest form."""
     fields, short_body = {**FIELDS, "list": ODD_VALUES}, b"x" * 256
