An engine that an older process disabled under an id in upper case stays disabled

Cause: ids were brought to one form in the configuration and in calls, and not in the file that carries calls on. Change: calls of another process are merged under the form of the frames; of two spellings the latest call is in force.

--- a/grebeproxy/net/manual_overrides.py
+++ b/grebeproxy/net/manual_overrides.py
@@ -16,6 +16,7 @@
 import orjson
 
 from grebeproxy.errors import GrebeproxyError
+from grebeproxy.net.engine_id import engine_id_from_text
 
 MAX_DISABLED = 1024  # engines disabled at once
 MAX_ENABLED = 64  # re-enabled engines whose calls are kept, so that other processes learn of them
@@ -54,7 +55,8 @@
 
     def merge(self, calls: Calls) -> None:
         """Merge the calls of another process; of two calls with one number, the disabling call wins."""
-        for engine, (number, disabled) in calls.items():
+        for written_id, (number, disabled) in calls.items():
+            engine = engine_id_from_text(written_id)
             self.calls[engine] = max(self.calls.get(engine, (-1, False)), (number, disabled))
         self._forget_oldest()
 
--- a/tests/test_engine_ids.py
+++ b/tests/test_engine_ids.py
@@ -7,6 +7,8 @@
 import pytest
 from exchange import play, to_text
 
+from grebeproxy.net.manual_overrides import ManualOverrides
+
 ENGINE_NUMBER = 0x00C41F7A
 UP, DRAINING, GONE = 0, 1, 2
 SPELLINGS = pytest.mark.parametrize("spelling", ["s-00c41f7a", "s-00C41F7A", "s-00C41f7a"])
@@ -58,3 +60,17 @@
     played = play("\n".join(lines)).splitlines()
     assert r"10 d1 < ACK done\n" in played
     assert '10 file written {"s-00c41f7a":[1,true]}' in played
+
+
+@SPELLINGS
+def test_an_engine_stays_disabled_however_an_older_process_wrote_its_id(spelling: str) -> None:
+    # Guards against a ban that is lost in an upgrade: an older process wrote the id as the known list has it.
+    assert dialled_after(spelling, f'5 file says {{"{spelling}":[1,true]}}') == [SECOND_ADDRESS]
+
+
+def test_the_latest_call_is_in_force_among_spellings_of_one_id() -> None:
+    overrides = ManualOverrides()
+    overrides.merge({"s-00C41F7A": (1, True), "s-00c41f7a": (2, False)})
+    assert overrides.calls == {"s-00c41f7a": (2, False)}
+    overrides.merge({"s-00C41F7A": (3, True)})
+    assert overrides.disabled() == {"s-00c41f7a"}
